--- a/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/ModuleDependencyTest.java
+++ b/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/ModuleDependencyTest.java
@@ -28,7 +28,7 @@
   @Test
   void everyModuleIsImported() {
     for (String module :
-        new String[] {"kernel", "core", "config", "wire", "platform", "router", "controller"}) {
+        new String[] {"kernel", "core", "config", "wire", "ports", "router", "controller"}) {
       assertThat(CLASSES.containPackage(ROOT + "." + module)).isTrue();
     }
   }
@@ -100,7 +100,7 @@
   void programsKnowNoFrontEnd() {
     noClasses()
         .that()
-        .resideInAnyPackage(ROOT + ".router..", ROOT + ".controller..", ROOT + ".platform..")
+        .resideInAnyPackage(ROOT + ".router..", ROOT + ".controller..", ROOT + ".ports..")
         .should()
         .dependOnClassesThat()
         .resideInAnyPackage(ROOT + ".cli..", ROOT + ".load..", ROOT + ".demo..", ROOT + ".bench..")
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/Connections.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/Connections.java
@@ -7,8 +7,8 @@
 import io.cuminvalve.config.settings.OperatorSettings;
 import io.cuminvalve.config.settings.SharedKeyFile;
 import io.cuminvalve.core.id.PublicationId;
-import io.cuminvalve.platform.http.HttpCaller;
-import io.cuminvalve.platform.store.HttpKeyValueStore;
+import io.cuminvalve.ports.http.HttpCaller;
+import io.cuminvalve.ports.store.HttpKeyValueStore;
 import java.util.List;
 import java.util.UUID;
 
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/command/Connection.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/command/Connection.java
@@ -1,7 +1,7 @@
 package io.cuminvalve.cli.command;
 
 import io.cuminvalve.cli.fleet.Fleet;
-import io.cuminvalve.platform.store.KeyValueStore;
+import io.cuminvalve.ports.store.KeyValueStore;
 
 /**
  * What a command needs of the running system.
--- a/cuminvalve-cli/src/test/java/io/cuminvalve/cli/publish/FaultyStore.java
+++ b/cuminvalve-cli/src/test/java/io/cuminvalve/cli/publish/FaultyStore.java
@@ -1,13 +1,13 @@
 package io.cuminvalve.cli.publish;
 
-import io.cuminvalve.platform.store.KeyValueStore;
-import io.cuminvalve.platform.store.LeaseResult;
-import io.cuminvalve.platform.store.ReadResult;
-import io.cuminvalve.platform.store.StoreLeaseId;
-import io.cuminvalve.platform.store.StoreOutcome;
-import io.cuminvalve.platform.store.StoreValue;
-import io.cuminvalve.platform.store.WatchResult;
-import io.cuminvalve.platform.store.WriteResult;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.store.LeaseResult;
+import io.cuminvalve.ports.store.ReadResult;
+import io.cuminvalve.ports.store.StoreLeaseId;
+import io.cuminvalve.ports.store.StoreOutcome;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.ports.store.WatchResult;
+import io.cuminvalve.ports.store.WriteResult;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
--- a/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/CellObserver.java
+++ b/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/CellObserver.java
@@ -3,8 +3,8 @@
 import io.cuminvalve.core.authority.ControllerEffect;
 import io.cuminvalve.core.id.CellId;
 import io.cuminvalve.core.table.TableVersion;
-import io.cuminvalve.platform.store.StoreOutcome;
-import io.cuminvalve.platform.target.TargetOutcome;
+import io.cuminvalve.ports.store.StoreOutcome;
+import io.cuminvalve.ports.target.TargetOutcome;
 
 /**
  * Learns what happens in a cell, for operators. Called on several threads.
--- a/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/CellPorts.java
+++ b/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/CellPorts.java
@@ -3,8 +3,8 @@
 import io.cuminvalve.core.authority.TableCodec;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
-import io.cuminvalve.platform.store.KeyValueStore;
-import io.cuminvalve.platform.target.TargetControl;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.target.TargetControl;
 import io.cuminvalve.wire.PeerNetwork;
 
 /**
--- a/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/CellRunner.java
+++ b/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/CellRunner.java
@@ -13,8 +13,8 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.rule.Configuration;
-import io.cuminvalve.platform.target.TargetHealth;
-import io.cuminvalve.platform.target.TargetState;
+import io.cuminvalve.ports.target.TargetHealth;
+import io.cuminvalve.ports.target.TargetState;
 import io.cuminvalve.wire.Reachability;
 import java.util.HashMap;
 import java.util.List;
@@ -302,7 +302,7 @@
       long operationId,
       TargetId target,
       String order,
-      io.cuminvalve.platform.target.TargetReply answer) {
+      io.cuminvalve.ports.target.TargetReply answer) {
     observer.onTargetOutcome(id, order, answer.outcome());
     TargetOutcome outcome =
         switch (answer.outcome()) {
--- a/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/StoreEffects.java
+++ b/cuminvalve-controller/src/main/java/io/cuminvalve/controller/cell/StoreEffects.java
@@ -6,9 +6,9 @@
 import io.cuminvalve.core.authority.StoreReply;
 import io.cuminvalve.core.id.CellId;
 import io.cuminvalve.kernel.CodedException;
-import io.cuminvalve.platform.store.StoreLeaseId;
-import io.cuminvalve.platform.store.StoreValue;
-import io.cuminvalve.platform.store.WatchResult;
+import io.cuminvalve.ports.store.StoreLeaseId;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.ports.store.WatchResult;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -152,7 +152,7 @@
     }
   }
 
-  private static StoreOutcome map(io.cuminvalve.platform.store.StoreOutcome outcome) {
+  private static StoreOutcome map(io.cuminvalve.ports.store.StoreOutcome outcome) {
     return switch (outcome) {
       case DONE -> StoreOutcome.DONE;
       case CONFLICT -> StoreOutcome.CONFLICT;
--- a/cuminvalve-controller/src/main/java/io/cuminvalve/controller/operation/CellReports.java
+++ b/cuminvalve-controller/src/main/java/io/cuminvalve/controller/operation/CellReports.java
@@ -18,7 +18,7 @@
 import io.cuminvalve.core.table.ShardTable;
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
-import io.cuminvalve.platform.target.TargetHealth;
+import io.cuminvalve.ports.target.TargetHealth;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
--- a/cuminvalve-controller/src/main/java/io/cuminvalve/controller/wiring/ControllerComponent.java
+++ b/cuminvalve-controller/src/main/java/io/cuminvalve/controller/wiring/ControllerComponent.java
@@ -5,9 +5,9 @@
 import io.cuminvalve.admin.AdminServer;
 import io.cuminvalve.config.settings.ControllerSettings;
 import io.cuminvalve.kernel.SharedKey;
-import io.cuminvalve.platform.host.HostList;
-import io.cuminvalve.platform.store.KeyValueStore;
-import io.cuminvalve.platform.target.TargetControl;
+import io.cuminvalve.ports.host.HostList;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.target.TargetControl;
 import io.cuminvalve.wire.TcpPeerNetwork;
 import javax.inject.Singleton;
 
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetRegister.java
@@ -0,0 +1,121 @@
+package io.cuminvalve.core.fleet;
+
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The targets that are known now, with a version that changes when routing has to change.
+ *
+ * <p>Registrations are rewritten at every sign of life; only those that differ for routing raise
+ * the version. While the registry was out of reach, entries may have lapsed although their targets
+ * live; {@link #replaceAll} therefore takes the time until which a missing entry is kept. Not safe
+ * for use by several threads.
+ *
+ * @since 0.2
+ */
+public final class TargetRegister {
+
+  private final Map<TargetId, FleetTarget> targets = new TreeMap<>();
+  private long version;
+
+  /**
+   * Takes one registration.
+   *
+   * @param target the registration; not null
+   * @return true if routing has to change
+   */
+  public boolean put(FleetTarget target) {
+    FleetTarget before = targets.put(target.id(), target);
+    boolean changed = !target.routesLike(before);
+    if (changed) {
+      version++;
+    }
+    return changed;
+  }
+
+  /**
+   * Forgets a target.
+   *
+   * @param id the target; not null
+   * @return true if it was known
+   */
+  public boolean remove(TargetId id) {
+    boolean known = targets.remove(id) != null;
+    if (known) {
+      version++;
+    }
+    return known;
+  }
+
+  /**
+   * Takes the whole list.
+   *
+   * @param listed every registration; not null
+   * @param keepMissing true while registrations that lapsed in an outage may still come back
+   * @return true if routing has to change
+   */
+  public boolean replaceAll(Collection<FleetTarget> listed, boolean keepMissing) {
+    boolean changed = false;
+    Map<TargetId, FleetTarget> byId = new TreeMap<>();
+    for (FleetTarget target : listed) {
+      byId.put(target.id(), target);
+      changed |= put(target);
+    }
+    if (!keepMissing) {
+      for (TargetId id : List.copyOf(targets.keySet())) {
+        changed |= !byId.containsKey(id) && remove(id);
+      }
+    }
+    return changed;
+  }
+
+  /**
+   * Returns all targets.
+   *
+   * @return in the order of their ids; never null
+   */
+  public List<FleetTarget> all() {
+    return List.copyOf(targets.values());
+  }
+
+  /**
+   * Returns the targets of a service.
+   *
+   * @param service the service; not null
+   * @return in the order of their ids; never null
+   */
+  public List<FleetTarget> of(ServiceId service) {
+    List<FleetTarget> result = new ArrayList<>();
+    for (FleetTarget target : targets.values()) {
+      if (target.service().equals(service)) {
+        result.add(target);
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Finds a target.
+   *
+   * @param id the target; not null
+   * @return empty if it is not registered
+   */
+  public Optional<FleetTarget> find(TargetId id) {
+    return Optional.ofNullable(targets.get(id));
+  }
+
+  /**
+   * Returns the version of what routing has to know.
+   *
+   * @return starts at 0 and only grows
+   */
+  public long version() {
+    return version;
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -0,0 +1,195 @@
+package io.cuminvalve.core.lease;
+
+import io.cuminvalve.core.id.TargetId;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/** One range, as the holder of the term sees it. */
+final class HeldRange {
+
+  private final KeyRange range;
+  private final Map<TargetId, PreviousOwner> previousOwners = new LinkedHashMap<>();
+  private TargetId owner;
+  private long token;
+
+  /** The version of the assignments that has to be durable before this one is acted on. */
+  private long neededVersion;
+
+  private Optional<String> handover = Optional.empty();
+  private boolean granted;
+  private boolean stale;
+  private boolean grantInFlight;
+  private long nextGrantMs;
+
+  /** Until when a lease of the owner may be in force, without the grant in flight. */
+  private long heldUntilMs;
+
+  /** The same for the grant in flight. */
+  private long inFlightUntilMs;
+
+  private long unansweredUntilMs;
+
+  HeldRange(KeyRange range, TargetId owner, long token, long neededVersion) {
+    this.range = range;
+    this.owner = owner;
+    this.token = token;
+    this.neededVersion = neededVersion;
+  }
+
+  /** Returns the same state for other keys: a part of these, or these and their neighbours. */
+  HeldRange withKeys(KeyRange keys) {
+    HeldRange copy = new HeldRange(keys, owner, token, neededVersion);
+    previousOwners.forEach((id, previous) -> copy.previousOwners.put(id, previous.copy()));
+    copy.handover = handover;
+    copy.granted = granted;
+    copy.stale = stale;
+    copy.grantInFlight = grantInFlight;
+    copy.nextGrantMs = nextGrantMs;
+    copy.heldUntilMs = heldUntilMs;
+    copy.inFlightUntilMs = inFlightUntilMs;
+    copy.unansweredUntilMs = unansweredUntilMs;
+    return copy;
+  }
+
+  KeyRange range() {
+    return range;
+  }
+
+  TargetId owner() {
+    return owner;
+  }
+
+  long token() {
+    return token;
+  }
+
+  long neededVersion() {
+    return neededVersion;
+  }
+
+  Optional<String> handover() {
+    return handover;
+  }
+
+  Map<TargetId, PreviousOwner> previousOwners() {
+    return previousOwners;
+  }
+
+  boolean isOpen() {
+    return granted && previousOwners.isEmpty();
+  }
+
+  boolean isStale() {
+    return stale;
+  }
+
+  /** Tells whether nothing is under way, so that the range may be moved without a detour. */
+  boolean isSettled(long nowMs) {
+    return isOpen() && !stale && !grantInFlight && unansweredUntilMs <= nowMs;
+  }
+
+  boolean isGrantDue(long nowMs) {
+    return previousOwners.isEmpty() && !stale && !grantInFlight && nextGrantMs <= nowMs;
+  }
+
+  void assumeHeldUntil(long untilMs) {
+    heldUntilMs = Math.max(heldUntilMs, untilMs);
+  }
+
+  void assumePreviousOwner(TargetId id, long heldUntil) {
+    previousOwners.put(id, new PreviousOwner(heldUntil, 0));
+  }
+
+  void reassign(TargetId newOwner, long newToken, long version, long nowMs) {
+    long untilMs = grantInFlight ? Math.max(heldUntilMs, inFlightUntilMs) : heldUntilMs;
+    long openUntilMs = grantInFlight ? inFlightUntilMs : unansweredUntilMs;
+    previousOwners.values().forEach(PreviousOwner::restart);
+    if (untilMs > nowMs) {
+      previousOwners.put(owner, new PreviousOwner(untilMs, openUntilMs));
+    }
+    owner = newOwner;
+    neededVersion = version;
+    heldUntilMs = 0;
+    unansweredUntilMs = 0;
+    handover = Optional.empty();
+    restartWith(newToken);
+    granted = false;
+  }
+
+  /** Goes on with the same owner under a higher token. */
+  void restartWith(long newToken) {
+    token = newToken;
+    stale = false;
+    grantInFlight = false;
+    nextGrantMs = 0;
+  }
+
+  void onGrantSent(long heldUntil) {
+    grantInFlight = true;
+    inFlightUntilMs = heldUntil;
+  }
+
+  void onGrantEnded(OrderOutcome outcome, long nextMs) {
+    grantInFlight = false;
+    nextGrantMs = nextMs;
+    unansweredUntilMs = outcome == OrderOutcome.UNANSWERED ? inFlightUntilMs : 0;
+    switch (outcome) {
+      case DONE -> {
+        granted = true;
+        assumeHeldUntil(inFlightUntilMs);
+      }
+      case UNANSWERED -> assumeHeldUntil(inFlightUntilMs);
+      case STALE -> {
+        stale = true;
+        granted = false;
+      }
+      case REJECTED -> granted = false;
+      default -> {
+        // Nothing was sent: the lease runs on as it is.
+      }
+    }
+  }
+
+  void onReleased(TargetId id, Optional<String> passedOn, long nextMs) {
+    PreviousOwner previous = previousOwners.get(id);
+    if (previous != null) {
+      previous.onReleaseEnded(true, nextMs);
+      if (passedOn.isPresent()) {
+        handover = passedOn;
+      }
+    }
+  }
+
+  void onGone(TargetId id) {
+    PreviousOwner previous = previousOwners.get(id);
+    if (previous != null) {
+      previous.onGone();
+    }
+    if (owner.equals(id)) {
+      heldUntilMs = 0;
+      inFlightUntilMs = 0;
+      unansweredUntilMs = 0;
+    }
+  }
+
+  /** Drops the previous owners that hold nothing any more. Tells whether there were any. */
+  boolean dropFreeOwners(long nowMs) {
+    return previousOwners.values().removeIf(previous -> previous.isFree(nowMs));
+  }
+
+  /** Tells whether a neighbour is in the same state, so that one lease can serve both. */
+  boolean joins(HeldRange next, long nowMs) {
+    return owner.equals(next.owner)
+        && isSettled(nowMs)
+        && next.isSettled(nowMs)
+        && range.last() + 1 == next.range.first();
+  }
+
+  HeldRange joinedWith(HeldRange next) {
+    HeldRange joined = withKeys(new KeyRange(range.first(), next.range.last()));
+    joined.heldUntilMs = Math.max(heldUntilMs, next.heldUntilMs);
+    joined.neededVersion = Math.max(neededVersion, next.neededVersion);
+    return joined;
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -0,0 +1,422 @@
+package io.cuminvalve.core.lease;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+
+/**
+ * Grants, renews and moves the key ranges of one service, for the holder of the term.
+ *
+ * <p>What it promises: an order that gives keys to a target is issued only once the assignment is
+ * durable and every target that may have held them is proved not to: it answered a release that
+ * carries the new token, or its lease has run out on the slowest clock allowed, or another run has
+ * taken its place. A grant without an answer may be carried out later; until its time is over, a
+ * release alone is no proof. Not safe for use by several threads.
+ *
+ * @since 0.2
+ */
+public final class LeaseDesk {
+
+  private final ServiceId service;
+  private final LeaseTimings timings;
+  private final LongSupplier tokens;
+  private List<HeldRange> ranges = new ArrayList<>();
+  private long version;
+  private long writtenVersion;
+  private boolean cleanupPending;
+  private boolean routesChanged;
+
+  /**
+   * Creates a desk without any assignment.
+   *
+   * @param service the service; not null
+   * @param timings the times; not null
+   * @param tokens gives fencing tokens, each above all that were given before, by any holder; not
+   *     null
+   */
+  public LeaseDesk(ServiceId service, LeaseTimings timings, LongSupplier tokens) {
+    this.service = service;
+    this.timings = timings;
+    this.tokens = tokens;
+  }
+
+  /**
+   * Takes over what an earlier holder wrote. Every owner gets its ranges again, under a new token.
+   *
+   * @param table the stored assignments; not null
+   * @param foreignUntilMs until when leases of earlier holders may be in force
+   */
+  public void takeOver(OwnershipTable table, long foreignUntilMs) {
+    long token = tokens.getAsLong();
+    version++;
+    for (RangeAssignment assignment : table.assignments()) {
+      HeldRange held = new HeldRange(assignment.range(), assignment.owner(), token, version);
+      held.assumeHeldUntil(foreignUntilMs);
+      for (TargetId id : assignment.previousOwners()) {
+        held.assumePreviousOwner(id, foreignUntilMs);
+      }
+      ranges.add(held);
+    }
+    routesChanged = true;
+  }
+
+  /**
+   * Assigns all keys for the first time, in proportion to the slots of the targets.
+   *
+   * @param targets the targets; not null, not empty
+   */
+  public void partition(List<FleetTarget> targets) {
+    long token = tokens.getAsLong();
+    version++;
+    int slots = targets.stream().mapToInt(FleetTarget::slots).sum();
+    int slotsBefore = 0;
+    for (FleetTarget target : targets) {
+      int first = boundary(slotsBefore, slots);
+      slotsBefore += target.slots();
+      int last = boundary(slotsBefore, slots) - 1;
+      if (first <= last) {
+        ranges.add(new HeldRange(new KeyRange(first, last), target.id(), token, version));
+      }
+    }
+    routesChanged = true;
+  }
+
+  private static int boundary(int slotsBefore, int slots) {
+    return (int) ((long) KeyRange.KEY_COUNT * slotsBefore / slots);
+  }
+
+  /**
+   * Tells whether keys are assigned at all.
+   *
+   * @return false before {@link #takeOver} or {@link #partition}
+   */
+  public boolean isPartitioned() {
+    return !ranges.isEmpty();
+  }
+
+  /**
+   * Gives a range, or a part of one, to another target. Takes effect once it is written.
+   *
+   * @param keys the keys; not null
+   * @param to the next owner; not null
+   * @param nowMs the time; milliseconds
+   */
+  public void move(KeyRange keys, TargetId to, long nowMs) {
+    isolate(keys);
+    version++;
+    long token = tokens.getAsLong();
+    for (HeldRange held : ranges) {
+      if (keys.contains(held.range()) && !held.owner().equals(to)) {
+        held.reassign(to, token, version, nowMs);
+      }
+    }
+    routesChanged = true;
+  }
+
+  private void isolate(KeyRange keys) {
+    List<HeldRange> cut = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      KeyRange range = held.range();
+      int from = Math.max(range.first(), keys.first());
+      int to = Math.min(range.last(), keys.last());
+      if (from > to || (from == range.first() && to == range.last())) {
+        cut.add(held);
+        continue;
+      }
+      if (range.first() < from) {
+        cut.add(held.withKeys(new KeyRange(range.first(), from - 1)));
+      }
+      cut.add(held.withKeys(new KeyRange(from, to)));
+      if (to < range.last()) {
+        cut.add(held.withKeys(new KeyRange(to + 1, range.last())));
+      }
+    }
+    ranges = cut;
+  }
+
+  /**
+   * Finds the ranges whose owner must not have them any longer.
+   *
+   * @param usable tells whether a target may own keys; not null
+   * @return never null
+   */
+  public List<KeyRange> rangesOfOthers(Predicate<TargetId> usable) {
+    List<KeyRange> result = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      if (!usable.test(held.owner())) {
+        result.add(held.range());
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Learns that a target has ended: another run answers in its place.
+   *
+   * @param id the target; not null
+   */
+  public void onGone(TargetId id) {
+    ranges.forEach(held -> held.onGone(id));
+  }
+
+  /**
+   * Returns the orders to send now.
+   *
+   * @param nowMs the time; milliseconds
+   * @return never null; each counts as sent
+   */
+  public List<LeaseOrder> due(long nowMs) {
+    List<LeaseOrder> orders = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      if (held.neededVersion() > writtenVersion) {
+        continue;
+      }
+      cleanupPending |= held.dropFreeOwners(nowMs);
+      addReleases(held, nowMs, orders);
+      addGrant(held, nowMs, orders);
+    }
+    return orders;
+  }
+
+  private void addReleases(HeldRange held, long nowMs, List<LeaseOrder> orders) {
+    for (Map.Entry<TargetId, PreviousOwner> entry : held.previousOwners().entrySet()) {
+      if (entry.getValue().isReleaseDue(nowMs)) {
+        entry.getValue().onReleaseSent();
+        orders.add(new LeaseOrder.Release(service, entry.getKey(), held.range(), held.token()));
+      }
+    }
+  }
+
+  private void addGrant(HeldRange held, long nowMs, List<LeaseOrder> orders) {
+    if (!held.isGrantDue(nowMs)) {
+      return;
+    }
+    held.onGrantSent(nowMs + timings.longestLeaseMs());
+    orders.add(
+        new LeaseOrder.Grant(
+            service, held.owner(), held.range(), held.token(), timings.leaseMs(), held.handover()));
+  }
+
+  /**
+   * Takes the answer to a grant.
+   *
+   * @param order the grant; not null
+   * @param outcome how it ended; not null
+   * @param sentMs when it was sent; milliseconds
+   * @param nowMs the time; milliseconds
+   */
+  public void onGrantEnded(LeaseOrder.Grant order, OrderOutcome outcome, long sentMs, long nowMs) {
+    long nextMs =
+        outcome == OrderOutcome.DONE ? sentMs + timings.renewMs() : nowMs + timings.retryMs();
+    for (HeldRange held : ranges) {
+      if (!order.range().contains(held.range())) {
+        continue;
+      }
+      if (held.token() == order.token() && held.owner().equals(order.target())) {
+        boolean wasOpen = held.isOpen();
+        held.onGrantEnded(outcome, nextMs);
+        routesChanged |= wasOpen != held.isOpen();
+      }
+      PreviousOwner previous = held.previousOwners().get(order.target());
+      if (previous != null && outcome != OrderOutcome.UNANSWERED) {
+        previous.onGrantAnswered();
+      }
+    }
+  }
+
+  /**
+   * Takes the answer to a release.
+   *
+   * @param order the release; not null
+   * @param outcome how it ended; not null
+   * @param handover what the target passed on; not null
+   * @param nowMs the time; milliseconds
+   */
+  public void onReleaseEnded(
+      LeaseOrder.Release order, OrderOutcome outcome, Optional<String> handover, long nowMs) {
+    long nextMs = nowMs + timings.retryMs();
+    for (HeldRange held : ranges) {
+      if (!order.range().contains(held.range()) || held.token() != order.token()) {
+        continue;
+      }
+      if (outcome == OrderOutcome.DONE) {
+        held.onReleased(order.target(), handover, nextMs);
+        continue;
+      }
+      PreviousOwner previous = held.previousOwners().get(order.target());
+      if (previous != null) {
+        previous.onReleaseEnded(false, nextMs);
+      }
+    }
+  }
+
+  /**
+   * Tells whether a target knows a higher token than the one in use.
+   *
+   * @return true until {@link #renewTokens()} is called
+   */
+  public boolean hasStaleTokens() {
+    return ranges.stream().anyMatch(HeldRange::isStale);
+  }
+
+  /** Goes on with higher tokens where ours were stale, once the term is confirmed. */
+  public void renewTokens() {
+    for (HeldRange held : ranges) {
+      if (held.isStale()) {
+        held.restartWith(tokens.getAsLong());
+      }
+    }
+  }
+
+  /**
+   * Joins neighbouring ranges of one owner where nothing is under way, so that fewer leases need
+   * renewal. The joined range goes on under a new token at the same owner.
+   *
+   * @param nowMs the time; milliseconds
+   */
+  public void joinNeighbours(long nowMs) {
+    List<HeldRange> joined = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      HeldRange last = joined.isEmpty() ? null : joined.get(joined.size() - 1);
+      if (last == null || !last.joins(held, nowMs)) {
+        joined.add(held);
+        continue;
+      }
+      boolean sameToken = last.token() == held.token();
+      HeldRange both = last.joinedWith(held);
+      if (!sameToken) {
+        both.restartWith(tokens.getAsLong());
+      }
+      joined.set(joined.size() - 1, both);
+    }
+    ranges = joined;
+  }
+
+  /**
+   * Returns the assignments to write.
+   *
+   * @return never null
+   */
+  public OwnershipTable table() {
+    List<RangeAssignment> assignments = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      assignments.add(
+          new RangeAssignment(
+              held.range().first(),
+              held.range().last(),
+              held.owner(),
+              List.copyOf(held.previousOwners().keySet())));
+    }
+    return new OwnershipTable(service, assignments);
+  }
+
+  /**
+   * Returns the version of the assignments.
+   *
+   * @return grows with each change that has to be durable before it takes effect
+   */
+  public long version() {
+    return version;
+  }
+
+  /**
+   * Tells whether assignments wait for being written.
+   *
+   * @return true if orders are held back until they are
+   */
+  public boolean needsWrite() {
+    return version > writtenVersion;
+  }
+
+  /**
+   * Tells whether the stored assignments name previous owners that hold nothing any more.
+   *
+   * @return true if a write would spare the next holder some work
+   */
+  public boolean isCleanupPending() {
+    return cleanupPending;
+  }
+
+  /**
+   * Learns that assignments are durable.
+   *
+   * @param written the version that {@link #table()} had
+   */
+  public void onWritten(long written) {
+    writtenVersion = Math.max(writtenVersion, written);
+    cleanupPending = false;
+  }
+
+  /**
+   * Returns where requests go now, and marks it as known.
+   *
+   * @return in the order of keys; never null
+   */
+  public List<RangeRoute> routes() {
+    routesChanged = false;
+    List<RangeRoute> routes = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      KeyRange range = held.range();
+      RangeRoute last = routes.isEmpty() ? null : routes.get(routes.size() - 1);
+      boolean joins =
+          last != null && last.owner().equals(held.owner()) && last.open() == held.isOpen();
+      int first = joins ? last.firstKey() : range.first();
+      RangeRoute route = new RangeRoute(first, range.last(), held.owner(), held.isOpen());
+      if (joins) {
+        routes.set(routes.size() - 1, route);
+      } else {
+        routes.add(route);
+      }
+    }
+    return routes;
+  }
+
+  /**
+   * Tells whether {@link #routes()} changed since it was last called.
+   *
+   * @return true if routers have to be told
+   */
+  public boolean routesChanged() {
+    return routesChanged;
+  }
+
+  /**
+   * Returns the ranges of each target that may be moved without a detour.
+   *
+   * @param nowMs the time; milliseconds
+   * @return by owner; never null
+   */
+  public Map<TargetId, List<KeyRange>> settledRanges(long nowMs) {
+    Map<TargetId, List<KeyRange>> result = new HashMap<>();
+    for (HeldRange held : ranges) {
+      if (held.isSettled(nowMs)) {
+        result.computeIfAbsent(held.owner(), id -> new ArrayList<>()).add(held.range());
+      }
+    }
+    return result;
+  }
+
+  /**
+   * Returns the targets that own, are to own or may hold ranges which are on the move.
+   *
+   * @return never null
+   */
+  public Collection<TargetId> targetsOnTheMove() {
+    List<TargetId> result = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      if (!held.isOpen()) {
+        result.add(held.owner());
+        result.addAll(held.previousOwners().keySet());
+      }
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseOrder.java
@@ -0,0 +1,71 @@
+package io.cuminvalve.core.lease;
+
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import java.util.Optional;
+
+/**
+ * Something that a target has to be told about a range.
+ *
+ * @since 0.2
+ */
+public sealed interface LeaseOrder {
+
+  /**
+   * Returns the service.
+   *
+   * @return never null
+   */
+  ServiceId service();
+
+  /**
+   * Returns the receiver.
+   *
+   * @return never null
+   */
+  TargetId target();
+
+  /**
+   * Returns the keys.
+   *
+   * @return never null
+   */
+  KeyRange range();
+
+  /**
+   * Returns the fencing token.
+   *
+   * @return above every token that was used for these keys before, or the same for a renewal
+   */
+  long token();
+
+  /**
+   * Grants or renews a lease.
+   *
+   * @param service the service; not null
+   * @param target the receiver; not null
+   * @param range the keys; not null
+   * @param token the fencing token
+   * @param leaseMs how long it runs; milliseconds
+   * @param handover what the previous owner passed on; not null
+   */
+  record Grant(
+      ServiceId service,
+      TargetId target,
+      KeyRange range,
+      long token,
+      long leaseMs,
+      Optional<String> handover)
+      implements LeaseOrder {}
+
+  /**
+   * Ends a lease.
+   *
+   * @param service the service; not null
+   * @param target the receiver; not null
+   * @param range the keys; not null
+   * @param token the fencing token of the next owner, so that late grants are refused
+   */
+  record Release(ServiceId service, TargetId target, KeyRange range, long token)
+      implements LeaseOrder {}
+}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/OwnershipTable.java
@@ -0,0 +1,19 @@
+package io.cuminvalve.core.lease;
+
+import io.cuminvalve.core.id.ServiceId;
+import java.util.List;
+
+/**
+ * The assignments of one service.
+ *
+ * @param service the service; not null
+ * @param assignments in the order of keys, covering all of them; not null
+ * @since 0.2
+ */
+public record OwnershipTable(ServiceId service, List<RangeAssignment> assignments) {
+
+  /** Copies the list. */
+  public OwnershipTable {
+    assignments = List.copyOf(assignments);
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
@@ -0,0 +1,61 @@
+package io.cuminvalve.core.lease;
+
+/** What is known of a target that may still hold a range which another one is to get. */
+final class PreviousOwner {
+
+  /** Until when a lease of it may be in force. */
+  private long heldUntilMs;
+
+  /** Until when a grant that got no answer may still be carried out. */
+  private long unansweredUntilMs;
+
+  private boolean released;
+  private boolean releaseInFlight;
+  private long nextReleaseMs;
+
+  PreviousOwner(long heldUntilMs, long unansweredUntilMs) {
+    this.heldUntilMs = heldUntilMs;
+    this.unansweredUntilMs = unansweredUntilMs;
+  }
+
+  PreviousOwner copy() {
+    PreviousOwner copy = new PreviousOwner(heldUntilMs, unansweredUntilMs);
+    copy.released = released;
+    copy.releaseInFlight = releaseInFlight;
+    copy.nextReleaseMs = nextReleaseMs;
+    return copy;
+  }
+
+  /** A new token is in use: what was answered under the one before no longer counts. */
+  void restart() {
+    released = false;
+    releaseInFlight = false;
+    nextReleaseMs = 0;
+  }
+
+  boolean isFree(long nowMs) {
+    return heldUntilMs <= nowMs || (released && unansweredUntilMs <= nowMs);
+  }
+
+  boolean isReleaseDue(long nowMs) {
+    return !released && !releaseInFlight && nextReleaseMs <= nowMs;
+  }
+
+  void onReleaseSent() {
+    releaseInFlight = true;
+  }
+
+  void onReleaseEnded(boolean done, long nextMs) {
+    releaseInFlight = false;
+    released |= done;
+    nextReleaseMs = nextMs;
+  }
+
+  void onGrantAnswered() {
+    unansweredUntilMs = 0;
+  }
+
+  void onGone() {
+    heldUntilMs = 0;
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
@@ -0,0 +1,11 @@
+package io.cuminvalve.core.protocol;
+
+/**
+ * Sent by the holder of the term to every process that said hello lately.
+ *
+ * @param term the holder's term
+ * @param processes how many processes said hello lately, the holder included
+ * @param registryAgeMs how old the holder's knowledge of the targets is; milliseconds
+ * @since 0.2
+ */
+public record FleetBeat(long term, int processes, long registryAgeMs) implements FleetMessage {}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -0,0 +1,16 @@
+package io.cuminvalve.core.protocol;
+
+/**
+ * Sent by every process to the holder of the term, again and again: what it knows, so that the
+ * holder sends what it lacks.
+ *
+ * @param process the sender's id; not null
+ * @param targetsTerm the term under which it learned of the targets; 0 if it knows none
+ * @param targetsVersion the version of the targets that it knows
+ * @param routesTerm the term under which it learned of the owners; 0 if it knows none
+ * @param routesVersion the version of the owners that it knows
+ * @since 0.2
+ */
+public record FleetHello(
+    String process, long targetsTerm, long targetsVersion, long routesTerm, long routesVersion)
+    implements FleetMessage {}
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/host/Host.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/host/Host.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.host;
+package io.cuminvalve.ports.host;
 
 /**
  * One host of the platform's list.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/host/HostList.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/host/HostList.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.host;
+package io.cuminvalve.ports.host;
 
 import java.util.List;
 import java.util.Optional;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/host/HostState.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/host/HostState.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.host;
+package io.cuminvalve.ports.host;
 
 /**
  * What the platform says of a host. It lags: a hint, never a proof.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/host/HttpHostList.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/host/HttpHostList.java
@@ -1,9 +1,9 @@
-package io.cuminvalve.platform.host;
+package io.cuminvalve.ports.host;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.cuminvalve.platform.http.HttpAnswer;
-import io.cuminvalve.platform.http.HttpCaller;
+import io.cuminvalve.ports.http.HttpAnswer;
+import io.cuminvalve.ports.http.HttpCaller;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/host/package-info.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/host/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's list of live and leaving hosts, behind a port. */
-package io.cuminvalve.platform.host;
+package io.cuminvalve.ports.host;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.http;
+package io.cuminvalve.ports.http;
 
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/http/package-info.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/package-info.java
@@ -1,2 +1,2 @@
 /** The HTTP client that all clients of the platform share. */
-package io.cuminvalve.platform.http;
+package io.cuminvalve.ports.http;
--- /dev/null
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/OrderReply.java
@@ -0,0 +1,13 @@
+package io.cuminvalve.ports.lease;
+
+import io.cuminvalve.core.lease.OrderOutcome;
+import java.util.Optional;
+
+/**
+ * How a target answered an order.
+ *
+ * @param outcome what came of it; not null
+ * @param handover what the next owner has to be given so that the keys are warm; not null
+ * @since 0.2
+ */
+public record OrderReply(OrderOutcome outcome, Optional<String> handover) {}
--- /dev/null
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Port to the leases that targets hold. */
+package io.cuminvalve.ports.lease;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/package-info.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the platform: store, host list, targets. */
-package io.cuminvalve.platform;
+package io.cuminvalve.ports;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/HttpKeyValueStore.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/HttpKeyValueStore.java
@@ -1,9 +1,9 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.cuminvalve.platform.http.HttpAnswer;
-import io.cuminvalve.platform.http.HttpCaller;
+import io.cuminvalve.ports.http.HttpAnswer;
+import io.cuminvalve.ports.http.HttpCaller;
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/KeyValueStore.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/StoreLeaseId.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/StoreLeaseId.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 /**
  * Identifies a lease of the store. Its text has the form that the store chose.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/StoreOutcome.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/StoreOutcome.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 /**
  * How a call to the store ended.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/StoreValue.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/StoreValue.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 /**
  * What the store holds under a key.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/WriteResult.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/WriteResult.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 /**
  * The end of a write or delete.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/store/package-info.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/package-info.java
@@ -1,2 +1,2 @@
 /** The platform's key-value service, behind a port. */
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/target/HttpTargetControl.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/HttpTargetControl.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.target;
+package io.cuminvalve.ports.target;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -6,8 +6,8 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.cuminvalve.core.id.Incarnation;
 import io.cuminvalve.core.id.RequestId;
-import io.cuminvalve.platform.http.HttpAnswer;
-import io.cuminvalve.platform.http.HttpCaller;
+import io.cuminvalve.ports.http.HttpAnswer;
+import io.cuminvalve.ports.http.HttpCaller;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/target/TargetControl.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/TargetControl.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.target;
+package io.cuminvalve.ports.target;
 
 import io.cuminvalve.core.id.RequestId;
 import java.util.concurrent.CompletableFuture;
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/target/TargetOutcome.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/TargetOutcome.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.target;
+package io.cuminvalve.ports.target;
 
 /**
  * How a control call to a target ended.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/target/TargetState.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/TargetState.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform.target;
+package io.cuminvalve.ports.target;
 
 /**
  * What a target says of itself. It lags and misleads: a hint, never a proof.
--- a/cuminvalve-platform/src/main/java/io/cuminvalve/platform/target/package-info.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/package-info.java
@@ -1,2 +1,2 @@
 /** Orders and questions to targets, behind a port. */
-package io.cuminvalve.platform.target;
+package io.cuminvalve.ports.target;
--- a/cuminvalve-platform/src/test/java/io/cuminvalve/platform/ScriptedServer.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/ScriptedServer.java
@@ -1,4 +1,4 @@
-package io.cuminvalve.platform;
+package io.cuminvalve.ports;
 
 import java.io.IOException;
 import java.io.InputStream;
--- a/cuminvalve-platform/src/test/java/io/cuminvalve/platform/store/HttpKeyValueStoreTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/store/HttpKeyValueStoreTest.java
@@ -1,9 +1,9 @@
-package io.cuminvalve.platform.store;
+package io.cuminvalve.ports.store;
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.cuminvalve.platform.ScriptedServer;
-import io.cuminvalve.platform.http.HttpCaller;
+import io.cuminvalve.ports.ScriptedServer;
+import io.cuminvalve.ports.http.HttpCaller;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/cuminvalve-platform/src/test/java/io/cuminvalve/platform/target/HttpTargetControlTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/target/HttpTargetControlTest.java
@@ -1,14 +1,14 @@
-package io.cuminvalve.platform.target;
+package io.cuminvalve.ports.target;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import io.cuminvalve.core.id.Incarnation;
 import io.cuminvalve.core.id.RequestId;
-import io.cuminvalve.platform.ScriptedServer;
-import io.cuminvalve.platform.host.Host;
-import io.cuminvalve.platform.host.HostState;
-import io.cuminvalve.platform.host.HttpHostList;
-import io.cuminvalve.platform.http.HttpCaller;
+import io.cuminvalve.ports.ScriptedServer;
+import io.cuminvalve.ports.host.Host;
+import io.cuminvalve.ports.host.HostState;
+import io.cuminvalve.ports.host.HttpHostList;
+import io.cuminvalve.ports.http.HttpCaller;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -19,8 +19,10 @@
  * that went away when it writes the answer, which is too late to cancel anything. The watch reads
  * ahead: an end of the stream means that the caller is gone; bytes of a next request are held until
  * the server asks for them.
+ *
+ * @since 0.1
  */
-final class CallerEndPoint extends SocketChannelEndPoint {
+public final class CallerEndPoint extends SocketChannelEndPoint {
 
   private static final int HELD_BYTES = 1024;
 
@@ -45,9 +47,9 @@
   /**
    * Watches the connection until the server reads from it again.
    *
-   * @param callback called at most once, if the caller goes away first
+   * @param callback called at most once, if the caller goes away first; not null
    */
-  void watch(Runnable callback) {
+  public void watch(Runnable callback) {
     synchronized (lock) {
       onGone = callback;
       if (!watching && !BufferUtil.hasContent(held) && !endSeen) {
@@ -57,7 +59,7 @@
   }
 
   /** Stops telling; called when the request has its outcome. */
-  void unwatch() {
+  public void unwatch() {
     synchronized (lock) {
       onGone = () -> {};
     }
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerServer.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerServer.java
@@ -4,12 +4,8 @@
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.ManagedService;
 import java.net.InetSocketAddress;
-import java.nio.channels.SelectionKey;
-import java.nio.channels.SocketChannel;
 import java.util.concurrent.ExecutionException;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
-import org.eclipse.jetty.io.ManagedSelector;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -50,7 +46,9 @@
     http.setSendDateHeader(false);
     http.setRequestHeaderSize(limits.maxHeaderBytes());
     http.setResponseHeaderSize(limits.maxHeaderBytes());
-    this.connector = new WatchingConnector(server, http);
+    this.connector =
+        new WatchingConnector(
+            server, new HttpConnectionFactory(http), new HTTP2CServerConnectionFactory(http));
     connector.setHost(address.getHostString());
     connector.setPort(address.getPort());
     connector.setIdleTimeout(IDLE_TIMEOUT_MS);
@@ -99,19 +97,4 @@
   }
 
   /** Makes connections that can be watched. */
-  private static final class WatchingConnector extends ServerConnector {
-
-    WatchingConnector(Server server, HttpConfiguration http) {
-      super(server, new HttpConnectionFactory(http), new HTTP2CServerConnectionFactory(http));
-    }
-
-    @Override
-    protected SocketChannelEndPoint newEndPoint(
-        SocketChannel channel, ManagedSelector selector, SelectionKey key) {
-      CallerEndPoint endPoint =
-          new CallerEndPoint(channel, selector, key, getScheduler(), getExecutor());
-      endPoint.setIdleTimeout(getIdleTimeout());
-      return endPoint;
-    }
-  }
 }
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -38,6 +38,7 @@
   private static final String SCHEME = "http";
 
   private final HttpClient client;
+  private final boolean takesUnboundedAnswers;
   private final ConnectionLimits connectionLimits;
 
   /**
@@ -48,6 +49,7 @@
    */
   public TargetClient(TargetClientLimits limits, ConnectionLimits connectionLimits) {
     this.connectionLimits = connectionLimits;
+    this.takesUnboundedAnswers = limits.takesUnboundedAnswers();
     this.client = newClient(limits);
   }
 
@@ -124,7 +126,7 @@
     if (request.body() != null) {
       made.body(request.body());
     }
-    return new TargetExchange(made, listener);
+    return new TargetExchange(made, listener, takesUnboundedAnswers);
   }
 
   /**
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
@@ -20,6 +20,7 @@
 
   private final Request request;
   private final TargetListener listener;
+  private final boolean takesUnboundedAnswers;
   private final AtomicBoolean decided = new AtomicBoolean();
 
   /**
@@ -27,9 +28,10 @@
    */
   private volatile boolean handedOver;
 
-  TargetExchange(Request request, TargetListener listener) {
+  TargetExchange(Request request, TargetListener listener, boolean takesUnboundedAnswers) {
     this.request = request;
     this.listener = listener;
+    this.takesUnboundedAnswers = takesUnboundedAnswers;
   }
 
   /** Starts the attempt; to be called once. */
@@ -94,7 +96,8 @@
   private boolean hasRecognisableEnd(Response response) {
     int status = response.getStatus();
     HttpFields headers = response.getHeaders();
-    return HttpMethod.HEAD.is(request.getMethod())
+    return takesUnboundedAnswers
+        || HttpMethod.HEAD.is(request.getMethod())
         || status == HttpStatus.NO_CONTENT_204
         || status == HttpStatus.NOT_MODIFIED_304
         || headers.contains(HttpHeader.CONTENT_LENGTH)
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/wiring/ControlModule.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/wiring/ControlModule.java
@@ -14,7 +14,7 @@
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.kernel.TrafficPool;
-import io.cuminvalve.platform.store.KeyValueStore;
+import io.cuminvalve.ports.store.KeyValueStore;
 import io.cuminvalve.router.control.CellDesks;
 import io.cuminvalve.router.control.CellRoutes;
 import io.cuminvalve.router.control.CellRunner;
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/wiring/RouterComponent.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/wiring/RouterComponent.java
@@ -5,7 +5,7 @@
 import io.cuminvalve.admin.AdminServer;
 import io.cuminvalve.config.settings.RouterSettings;
 import io.cuminvalve.kernel.SharedKey;
-import io.cuminvalve.platform.store.KeyValueStore;
+import io.cuminvalve.ports.store.KeyValueStore;
 import io.cuminvalve.router.caller.CallerServer;
 import io.cuminvalve.router.control.ControlLoop;
 import io.cuminvalve.router.observe.TraceSink;
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/wiring/TrafficModule.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/wiring/TrafficModule.java
@@ -71,7 +71,8 @@
             traffic.connectTimeoutMs(),
             TARGET_IDLE_TIMEOUT_MS,
             traffic.maxHeaderBytes(),
-            TARGET_THREADS);
+            TARGET_THREADS,
+            false);
     return new TargetClient(limits, directory);
   }
 
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -2,6 +2,8 @@
 
 import io.cuminvalve.core.protocol.ConfigPush;
 import io.cuminvalve.core.protocol.ConfigRequest;
+import io.cuminvalve.core.protocol.FleetBeat;
+import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.Heartbeat;
 import io.cuminvalve.core.protocol.HeartbeatReply;
 import io.cuminvalve.core.protocol.HolderAlive;
@@ -13,6 +15,7 @@
 import io.cuminvalve.core.protocol.IntentPullReply;
 import io.cuminvalve.core.protocol.IntentPullRequest;
 import io.cuminvalve.core.protocol.IntentSettled;
+import io.cuminvalve.core.protocol.KeyLoadReport;
 import io.cuminvalve.core.protocol.LearnReply;
 import io.cuminvalve.core.protocol.LearnRequest;
 import io.cuminvalve.core.protocol.LeaseReply;
@@ -33,9 +36,11 @@
 import io.cuminvalve.core.protocol.RouterHints;
 import io.cuminvalve.core.protocol.RouterLeave;
 import io.cuminvalve.core.protocol.RouterLeft;
+import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ShardsOpened;
 import io.cuminvalve.core.protocol.TablePush;
 import io.cuminvalve.core.protocol.TableRequest;
+import io.cuminvalve.core.protocol.TargetsPush;
 import java.util.Map;
 
 /**
@@ -83,7 +88,12 @@
           type(32, PermitsClosed.class),
           type(33, HolderProbe.class),
           type(34, HolderAlive.class),
-          type(35, RouterHints.class));
+          type(35, RouterHints.class),
+          type(36, FleetHello.class),
+          type(37, FleetBeat.class),
+          type(38, TargetsPush.class),
+          type(39, RoutesPush.class),
+          type(40, KeyLoadReport.class));
 
   private PeerMessageTypes() {}
 
