--- a/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/ModuleDependencyTest.java
+++ b/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/ModuleDependencyTest.java
@@ -28,7 +28,9 @@
   @Test
   void everyModuleIsImported() {
     for (String module :
-        new String[] {"kernel", "core", "config", "wire", "ports", "router", "controller"}) {
+        new String[] {
+          "kernel", "core", "config", "wire", "ports", "router", "controller", "gateway", "platform"
+        }) {
       assertThat(CLASSES.containPackage(ROOT + "." + module)).isTrue();
     }
   }
@@ -100,7 +102,12 @@
   void programsKnowNoFrontEnd() {
     noClasses()
         .that()
-        .resideInAnyPackage(ROOT + ".router..", ROOT + ".controller..", ROOT + ".ports..")
+        .resideInAnyPackage(
+            ROOT + ".router..",
+            ROOT + ".controller..",
+            ROOT + ".gateway..",
+            ROOT + ".platform..",
+            ROOT + ".ports..")
         .should()
         .dependOnClassesThat()
         .resideInAnyPackage(ROOT + ".cli..", ROOT + ".load..", ROOT + ".demo..", ROOT + ".bench..")
@@ -116,6 +123,17 @@
         .check(CLASSES);
   }
 
+  @Test
+  void onlyThePlatformFolderKnowsThePlatform() {
+    noClasses()
+        .that()
+        .resideOutsideOfPackages(ROOT + ".platform..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage(ROOT + ".platform..")
+        .check(CLASSES);
+  }
+
   private static DescribedPredicate<JavaClass> oursOutside(String module) {
     return DescribedPredicate.describe(
         "ours outside " + module,
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -0,0 +1,154 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.protocol.PeerMessage;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.GatewaySettings;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.KeyWorkMeter;
+import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.SharedKey;
+import io.cuminvalve.wire.PeerChannel;
+import io.cuminvalve.wire.PeerNetworkSettings;
+import io.cuminvalve.wire.TcpPeerNetwork;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.Supplier;
+
+/**
+ * Everything of a gateway that is not traffic: configuration, term, targets, owners.
+ *
+ * @since 0.2
+ */
+public final class FleetControl implements TermLease.Listener {
+
+  private static final long CONNECT_TIMEOUT_MS = 500;
+  private static final long KEEP_ALIVE_MS = 1_000;
+  private static final long SILENT_MS = 3_000;
+  private static final long BACKOFF_MIN_MS = 50;
+  private static final long BACKOFF_MAX_MS = 500;
+  private static final int QUEUE_CAPACITY = 256;
+
+  private final GatewayPorts ports;
+  private final GatewaySettings settings;
+  private final RoutingState state;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private final TcpPeerNetwork network;
+  private final ConfigurationWatch configuration;
+  private final FleetLink link;
+  private final TermLease termLease;
+  private Optional<HolderDuties> duties = Optional.empty();
+
+  /**
+   * Creates the control of a gateway. Opens the listener for peers.
+   *
+   * @param ports what it needs from outside; not null
+   * @param settings what it has to know; not null
+   * @param sharedKey proves that a peer belongs to the fleet; not null
+   * @param state where knowledge goes; not null
+   * @param control the control thread; not null
+   * @param clock the time; not null
+   * @param log takes decisions; not null
+   * @param keyWork the work that keys caused; not null
+   */
+  public FleetControl(
+      GatewayPorts ports,
+      GatewaySettings settings,
+      SharedKey sharedKey,
+      RoutingState state,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      Supplier<KeyWorkMeter> keyWork) {
+    this.ports = ports;
+    this.settings = settings;
+    this.state = state;
+    this.control = control;
+    this.clock = clock;
+    this.log = log;
+    SplittableRandom random = new SplittableRandom();
+    this.network =
+        new TcpPeerNetwork(
+            new PeerNetworkSettings(
+                settings.peerHost(),
+                settings.peerPort(),
+                sharedKey,
+                CONNECT_TIMEOUT_MS,
+                KEEP_ALIVE_MS,
+                SILENT_MS,
+                BACKOFF_MIN_MS,
+                BACKOFF_MAX_MS,
+                QUEUE_CAPACITY),
+            this::onMessage,
+            (address, reachability) -> {},
+            control,
+            clock,
+            random.split());
+    this.configuration = new ConfigurationWatch(ports, state, control, log);
+    this.link =
+        new FleetLink(network, state, control, clock, log, ports, settings.process(), keyWork);
+    this.termLease =
+        new TermLease(
+            ports.store(),
+            control,
+            clock,
+            random.split(),
+            log,
+            new TermNote(settings.process(), random.nextLong(), network.localAddress()),
+            settings.firstCandidate(),
+            settings.leases().holderGraceMs(),
+            this);
+  }
+
+  private void onMessage(PeerChannel sender, PeerMessage message) {
+    link.onMessage(sender, message);
+  }
+
+  /** Starts. */
+  public void start() {
+    network.start();
+    control.execute(
+        () -> {
+          configuration.start();
+          termLease.start();
+          link.start();
+        });
+  }
+
+  /** Gives the term up, so that another gateway takes it at once; goes on routing. */
+  public void resign() {
+    control.execute(termLease::close);
+  }
+
+  /** Ends everything. */
+  public void close() {
+    control.execute(configuration::close);
+    network.close();
+  }
+
+  @Override
+  public void onGained(long term) {
+    HolderDuties next =
+        new HolderDuties(
+            ports, state, control, clock, log, settings.leases(), term, termLease, link);
+    duties = Optional.of(next);
+    link.setDuties(duties);
+    next.start();
+  }
+
+  @Override
+  public void onLost() {
+    duties.ifPresent(HolderDuties::close);
+    duties = Optional.empty();
+    link.setDuties(duties);
+  }
+
+  @Override
+  public void onOtherHolder(TermNote holder) {
+    log.write("holder_known", "holder={} address={}", holder.process(), holder.peerAddress());
+    link.setHolder(holder.peerAddress());
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -0,0 +1,270 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.protocol.FleetBeat;
+import io.cuminvalve.core.protocol.FleetHello;
+import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.core.protocol.PeerMessage;
+import io.cuminvalve.core.protocol.RoutesPush;
+import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.KeyOwners;
+import io.cuminvalve.gateway.traffic.KeyWorkMeter;
+import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.wire.PeerChannel;
+import io.cuminvalve.wire.PeerNetwork;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * Keeps this gateway and the holder of the term in touch.
+ *
+ * <p>Every gateway says hello to the holder at a pace; the holder answers with a beat and sends the
+ * targets and the owners whenever they change. A gateway that hears nothing for a while follows the
+ * registry of targets itself. All methods are for the control thread.
+ *
+ * @since 0.2
+ */
+final class FleetLink implements HolderDuties.Audience {
+
+  private static final long HELLO_MS = 300;
+
+  /** Three hellos without an answer. */
+  private static final long SILENT_MS = 950;
+
+  /** What the holder knows of the targets is too old to rely on: two paces and some. */
+  private static final long STALE_REGISTRY_MS = 1_800;
+
+  /** After this long without a hello a gateway no longer counts. */
+  private static final long GONE_MS = 2_000;
+
+  private final PeerNetwork network;
+  private final RoutingState state;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private final GatewayPorts ports;
+  private final String process;
+  private final Supplier<KeyWorkMeter> keyWork;
+  private final Map<String, Subscriber> subscribers = new HashMap<>();
+  private Optional<HolderDuties> duties = Optional.empty();
+  private Optional<String> holderAddress = Optional.empty();
+  private Optional<RegistryFollower> ownFollower = Optional.empty();
+  private long heardMs;
+  private long targetsTerm;
+  private long targetsVersion;
+  private long routesTerm;
+  private long routesVersion;
+  private TargetsPush lastTargets = new TargetsPush(0, 0, List.of());
+  private RoutesPush lastRoutes = new RoutesPush(0, 0, List.of());
+
+  FleetLink(
+      PeerNetwork network,
+      RoutingState state,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      GatewayPorts ports,
+      String process,
+      Supplier<KeyWorkMeter> keyWork) {
+    this.network = network;
+    this.state = state;
+    this.control = control;
+    this.clock = clock;
+    this.log = log;
+    this.ports = ports;
+    this.process = process;
+    this.keyWork = keyWork;
+    this.heardMs = clock.nowMs();
+  }
+
+  void start() {
+    control.scheduleRepeatedly(this::onPace, HELLO_MS);
+  }
+
+  /** This gateway holds the term now, or no longer. */
+  void setDuties(Optional<HolderDuties> now) {
+    duties = now;
+    heardMs = clock.nowMs();
+    if (now.isPresent()) {
+      holderAddress = Optional.empty();
+      closeOwnFollower();
+    } else {
+      subscribers.clear();
+    }
+  }
+
+  void setHolder(String address) {
+    if (duties.isEmpty()) {
+      holderAddress = Optional.of(address);
+      heardMs = clock.nowMs();
+      sayHello();
+    }
+  }
+
+  void onMessage(PeerChannel sender, PeerMessage message) {
+    if (message instanceof FleetHello hello) {
+      onHello(sender, hello);
+    } else if (message instanceof KeyLoadReport report) {
+      duties.ifPresent(d -> d.onReport(report));
+    } else if (message instanceof FleetBeat beat) {
+      onBeat(beat);
+    } else if (message instanceof TargetsPush push) {
+      onTargetsPush(push);
+    } else if (message instanceof RoutesPush push) {
+      onRoutesPush(push);
+    }
+  }
+
+  private void onPace() {
+    if (duties.isPresent()) {
+      keyWork.get().take().forEach(report -> duties.get().onReport(report));
+      dropSilentSubscribers();
+      return;
+    }
+    sayHello();
+    holderAddress.ifPresent(
+        address -> keyWork.get().take().forEach(report -> network.send(address, report)));
+    boolean silent = clock.nowMs() - heardMs > SILENT_MS;
+    if (silent && ownFollower.isEmpty()) {
+      openOwnFollower();
+    }
+  }
+
+  private void sayHello() {
+    FleetHello hello =
+        new FleetHello(process, targetsTerm, targetsVersion, routesTerm, routesVersion);
+    holderAddress.ifPresent(address -> network.send(address, hello));
+  }
+
+  private void openOwnFollower() {
+    log.write("holder_silent", "holder={}", holderAddress.orElse("-"));
+    RegistryFollower follower =
+        new RegistryFollower(
+            ports.registry(),
+            control,
+            clock,
+            log,
+            List.copyOf(state.current().targets()),
+            this::onOwnTargets);
+    ownFollower = Optional.of(follower);
+    targetsTerm = 0;
+    follower.start();
+  }
+
+  private void closeOwnFollower() {
+    ownFollower.ifPresent(RegistryFollower::close);
+    ownFollower = Optional.empty();
+  }
+
+  private void onOwnTargets() {
+    ownFollower.ifPresent(
+        follower -> {
+          List<FleetTarget> targets = follower.register().all();
+          state.update(snapshot -> snapshot.withTargets(targets));
+        });
+  }
+
+  private void onBeat(FleetBeat beat) {
+    if (duties.isPresent()) {
+      return;
+    }
+    if (beat.registryAgeMs() <= STALE_REGISTRY_MS) {
+      heardMs = clock.nowMs();
+    }
+    if (state.current().processes() != beat.processes()) {
+      state.update(snapshot -> snapshot.withProcesses(Math.max(1, beat.processes())));
+    }
+  }
+
+  private void onTargetsPush(TargetsPush push) {
+    if (duties.isPresent() || push.term() < routesTerm) {
+      return;
+    }
+    targetsTerm = push.term();
+    targetsVersion = push.version();
+    if (clock.nowMs() - heardMs <= SILENT_MS) {
+      closeOwnFollower();
+      state.update(snapshot -> snapshot.withTargets(push.targets()));
+    }
+  }
+
+  private void onRoutesPush(RoutesPush push) {
+    boolean older =
+        push.term() < routesTerm || (push.term() == routesTerm && push.version() <= routesVersion);
+    if (duties.isPresent() || older) {
+      return;
+    }
+    routesTerm = push.term();
+    routesVersion = push.version();
+    install(push.services());
+  }
+
+  private void install(List<ServiceRanges> services) {
+    Map<ServiceId, KeyOwners> owners = new HashMap<>();
+    for (ServiceRanges ranges : services) {
+      owners.put(ranges.service(), new KeyOwners(ranges.ranges()));
+    }
+    state.update(snapshot -> snapshot.withOwners(owners));
+  }
+
+  private void onHello(PeerChannel sender, FleetHello hello) {
+    if (duties.isEmpty()) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    subscribers.put(hello.process(), new Subscriber(sender, nowMs));
+    long term = duties.get().term();
+    sender.send(new FleetBeat(term, subscribers.size() + 1, duties.get().registryAgeMs()));
+    boolean lacksTargets =
+        hello.targetsTerm() != term || hello.targetsVersion() != lastTargets.version();
+    if (lacksTargets && lastTargets.term() == term) {
+      sender.send(lastTargets);
+    }
+    boolean lacksRoutes =
+        hello.routesTerm() != term || hello.routesVersion() != lastRoutes.version();
+    if (lacksRoutes && lastRoutes.term() == term) {
+      sender.send(lastRoutes);
+    }
+    updateProcesses();
+  }
+
+  private void dropSilentSubscribers() {
+    long nowMs = clock.nowMs();
+    subscribers.values().removeIf(subscriber -> nowMs - subscriber.heardMs() > GONE_MS);
+    updateProcesses();
+  }
+
+  private void updateProcesses() {
+    int processes = subscribers.size() + 1;
+    if (state.current().processes() != processes) {
+      state.update(snapshot -> snapshot.withProcesses(processes));
+    }
+  }
+
+  @Override
+  public void onTargets(long term, long version, List<FleetTarget> targets) {
+    lastTargets = new TargetsPush(term, version, targets);
+    subscribers.values().forEach(subscriber -> subscriber.channel().send(lastTargets));
+  }
+
+  @Override
+  public void onRoutes(long term, long version, List<ServiceRanges> services) {
+    lastRoutes = new RoutesPush(term, version, services);
+    routesTerm = term;
+    routesVersion = version;
+    install(services);
+    subscribers.values().forEach(subscriber -> subscriber.channel().send(lastRoutes));
+  }
+
+  /** A gateway that said hello. */
+  private record Subscriber(PeerChannel channel, long heardMs) {}
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -0,0 +1,311 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.LeaseDesk;
+import io.cuminvalve.core.lease.LeaseOrder;
+import io.cuminvalve.core.lease.LeaseTimings;
+import io.cuminvalve.core.lease.OwnershipRecord;
+import io.cuminvalve.core.lease.OwnershipTable;
+import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.route.ServiceProfile;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Future;
+
+/**
+ * What the holder of the term does: follows the targets, assigns keys, keeps the leases going.
+ *
+ * <p>One object for one term. It acts on nothing before it has read what earlier holders wrote and
+ * has written that itself, so that they can write no more. All methods are for the control thread.
+ *
+ * @since 0.2
+ */
+final class HolderDuties {
+
+  /** Tells the gateways of the fleet. */
+  interface Audience {
+
+    /** The targets changed. */
+    void onTargets(long term, long version, List<FleetTarget> targets);
+
+    /** The owners changed. */
+    void onRoutes(long term, long version, List<ServiceRanges> services);
+  }
+
+  private static final long TICK_MS = 50;
+
+  /** Room for tokens within one term. */
+  private static final int TOKEN_BITS = 20;
+
+  /** A record of proofs may wait this long for a write that is needed anyway. */
+  private static final long CLEANUP_MS = 2_000;
+
+  private final GatewayPorts ports;
+  private final RoutingState state;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private final LeaseTimings timings;
+  private final long term;
+  private final TermLease termLease;
+  private final Audience audience;
+  private final RegistryFollower follower;
+  private final OwnershipStore ownership;
+  private final OrderSender sender;
+  private final long startedMs;
+  private final Map<ServiceId, ServiceDuties> duties = new LinkedHashMap<>();
+  private final Map<TargetId, String> lastAddresses = new HashMap<>();
+  private Map<ServiceId, OwnershipTable> stored = Map.of();
+  private boolean ready;
+  private boolean fresh;
+  private long tokenCount;
+  private long routesVersion;
+  private long cleanupSinceMs;
+  private long staleSinceMs = Long.MAX_VALUE;
+  private Future<?> ticking;
+
+  HolderDuties(
+      GatewayPorts ports,
+      RoutingState state,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      LeaseTimings timings,
+      long term,
+      TermLease termLease,
+      Audience audience) {
+    this.ports = ports;
+    this.state = state;
+    this.control = control;
+    this.clock = clock;
+    this.log = log;
+    this.timings = timings;
+    this.term = term;
+    this.termLease = termLease;
+    this.audience = audience;
+    this.startedMs = clock.nowMs();
+    this.follower =
+        new RegistryFollower(
+            ports.registry(),
+            control,
+            clock,
+            log,
+            List.copyOf(state.current().targets()),
+            this::onTargets);
+    this.ownership = new OwnershipStore(ports.store(), control, log, term);
+    this.sender =
+        new OrderSender(
+            ports.leases(),
+            control,
+            clock,
+            log,
+            id -> Optional.ofNullable(lastAddresses.get(id)),
+            this::act);
+  }
+
+  void start() {
+    state.current().targets().forEach(t -> lastAddresses.put(t.id(), t.address()));
+    follower.start();
+    ownership.read(this::onOwnership);
+    ticking = control.scheduleRepeatedly(this::act, TICK_MS);
+  }
+
+  void close() {
+    follower.close();
+    ownership.close();
+    sender.close();
+    ticking.cancel(false);
+  }
+
+  long term() {
+    return term;
+  }
+
+  long registryAgeMs() {
+    return follower.ageMs();
+  }
+
+  void onReport(KeyLoadReport report) {
+    ServiceDuties service = duties.get(report.service());
+    if (service != null) {
+      service.onReport(report);
+    }
+  }
+
+  /** Says everything once more, to gateways that lack something. */
+  void tellAll() {
+    audience.onTargets(term, follower.register().version(), follower.register().all());
+    if (fresh) {
+      tellRoutes();
+    }
+  }
+
+  private void onOwnership(Optional<OwnershipRecord> found) {
+    Map<ServiceId, OwnershipTable> tables = new HashMap<>();
+    found.ifPresent(record -> record.tables().forEach(t -> tables.put(t.service(), t)));
+    stored = tables;
+    duties.clear();
+    ready = true;
+    log.write(
+        "owners_read",
+        "term={} written_in_term={} services={}",
+        term,
+        found.map(OwnershipRecord::term).orElse(0L),
+        tables.size());
+    act();
+  }
+
+  private void onTargets() {
+    Map<String, TargetId> byAddress = new HashMap<>();
+    for (FleetTarget target : follower.register().all()) {
+      lastAddresses.put(target.id(), target.address());
+      byAddress.put(target.address(), target.id());
+    }
+    endReplacedTargets(byAddress);
+    List<FleetTarget> targets = follower.register().all();
+    state.update(snapshot -> snapshot.withTargets(targets));
+    audience.onTargets(term, follower.register().version(), targets);
+    act();
+  }
+
+  /** A target whose address answers for another one has ended, whatever its leases say. */
+  private void endReplacedTargets(Map<String, TargetId> byAddress) {
+    Set<TargetId> replaced = new HashSet<>();
+    lastAddresses.forEach(
+        (id, address) -> {
+          TargetId now = byAddress.get(address);
+          if (now != null && !now.equals(id)) {
+            replaced.add(id);
+          }
+        });
+    for (TargetId id : replaced) {
+      lastAddresses.remove(id);
+      duties.values().forEach(service -> service.desk().onGone(id));
+    }
+  }
+
+  private void act() {
+    if (!ready || !follower.isListed()) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    state.current().configuration().ifPresent(this::addServices);
+    for (ServiceDuties service : duties.values()) {
+      service.plan(follower.register(), nowMs);
+    }
+    renewStaleTokens(nowMs);
+    writeIfNeeded(nowMs);
+    for (ServiceDuties service : duties.values()) {
+      for (LeaseOrder order : service.desk().due(nowMs)) {
+        sender.send(service.desk(), order);
+      }
+    }
+    if (duties.values().stream().anyMatch(service -> service.desk().routesChanged())) {
+      tellRoutes();
+    }
+  }
+
+  private void addServices(RoutingConfiguration configuration) {
+    for (ServiceProfile profile : configuration.services().values()) {
+      if (profile.keyed() && !duties.containsKey(profile.id())) {
+        duties.put(profile.id(), newDuties(profile.id()));
+      }
+    }
+  }
+
+  private ServiceDuties newDuties(ServiceId id) {
+    LeaseDesk desk = new LeaseDesk(id, timings, this::nextToken);
+    OwnershipTable table = stored.get(id);
+    if (table != null && !table.assignments().isEmpty()) {
+      desk.takeOver(table, startedMs + timings.foreignLeaseMs());
+    }
+    return new ServiceDuties(id, desk, log, clock.nowMs());
+  }
+
+  private long nextToken() {
+    tokenCount++;
+    return (term << TOKEN_BITS) + tokenCount;
+  }
+
+  /** A target that knows a higher token may know a higher term: ask before going on. */
+  private void renewStaleTokens(long nowMs) {
+    boolean stale = duties.values().stream().anyMatch(s -> s.desk().hasStaleTokens());
+    if (!stale) {
+      staleSinceMs = Long.MAX_VALUE;
+      return;
+    }
+    if (staleSinceMs == Long.MAX_VALUE) {
+      staleSinceMs = nowMs;
+      log.write("token_stale", "term={}", term);
+      termLease.confirm();
+    } else if (termLease.confirmedMs() >= staleSinceMs) {
+      staleSinceMs = Long.MAX_VALUE;
+      duties.values().forEach(service -> service.desk().renewTokens());
+    }
+  }
+
+  private void writeIfNeeded(long nowMs) {
+    boolean urgent = duties.values().stream().anyMatch(service -> service.desk().needsWrite());
+    boolean cleanup =
+        duties.values().stream().anyMatch(service -> service.desk().isCleanupPending());
+    cleanupSinceMs = cleanup ? Math.min(cleanupSinceMs, nowMs) : Long.MAX_VALUE;
+    boolean due = urgent || nowMs - cleanupSinceMs > CLEANUP_MS;
+    if (!due || ownership.isWriting()) {
+      return;
+    }
+    Map<ServiceId, OwnershipTable> tables = new LinkedHashMap<>(stored);
+    Map<ServiceId, Long> versions = new HashMap<>();
+    duties.forEach(
+        (id, service) -> {
+          if (service.desk().isPartitioned()) {
+            tables.put(id, service.desk().table());
+          }
+          versions.put(id, service.desk().version());
+        });
+    ownership.write(List.copyOf(tables.values()), () -> onWritten(versions), this::onOvertaken);
+  }
+
+  private void onWritten(Map<ServiceId, Long> versions) {
+    fresh = true;
+    versions.forEach((id, version) -> duties.get(id).desk().onWritten(version));
+    act();
+  }
+
+  /** An earlier holder wrote after we had read: take over from what it wrote. */
+  private void onOvertaken(Optional<OwnershipRecord> found) {
+    long other = found.map(OwnershipRecord::term).orElse(0L);
+    log.write("owners_overtaken", "term={} by_term={}", term, other);
+    if (other < term) {
+      onOwnership(found);
+    } else {
+      termLease.confirm();
+    }
+  }
+
+  private void tellRoutes() {
+    List<ServiceRanges> services = new ArrayList<>();
+    duties.forEach(
+        (id, service) -> {
+          if (service.desk().isPartitioned()) {
+            services.add(new ServiceRanges(id, service.desk().routes()));
+          }
+        });
+    routesVersion++;
+    audience.onRoutes(term, routesVersion, services);
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
@@ -0,0 +1,123 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.lease.OwnershipRecord;
+import io.cuminvalve.core.lease.OwnershipTable;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.CodedException;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.store.ReadResult;
+import io.cuminvalve.ports.store.StoreOutcome;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.ports.store.WriteResult;
+import io.cuminvalve.wire.RecordCodec;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/**
+ * Reads and writes the assignments of all services in the store, for one term.
+ *
+ * <p>Each write replaces exactly what was read or written last. So a holder that was replaced
+ * cannot write any more once its successor has written once. A write without an answer is looked up
+ * before the next one. For the control thread.
+ *
+ * @since 0.2
+ */
+final class OwnershipStore {
+
+  private static final String KEY = "cuminvalve/owners";
+  private static final long RETRY_MS = 200;
+
+  private final KeyValueStore store;
+  private final ControlThread control;
+  private final DecisionLog log;
+  private final long term;
+  private final RecordCodec codec = new RecordCodec();
+  private long revision = KeyValueStore.ABSENT;
+  private boolean writing;
+  private boolean closed;
+
+  OwnershipStore(KeyValueStore store, ControlThread control, DecisionLog log, long term) {
+    this.store = store;
+    this.control = control;
+    this.log = log;
+    this.term = term;
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  boolean isWriting() {
+    return writing;
+  }
+
+  /** Reads until the store answers, then passes the record on. */
+  void read(Consumer<Optional<OwnershipRecord>> onRead) {
+    if (!closed) {
+      store.read(KEY).thenAcceptAsync(result -> onReadResult(result, onRead), control);
+    }
+  }
+
+  private void onReadResult(ReadResult result, Consumer<Optional<OwnershipRecord>> onRead) {
+    if (closed) {
+      return;
+    }
+    if (!result.isDone()) {
+      control.schedule(() -> read(onRead), RETRY_MS);
+      return;
+    }
+    revision = result.value().map(StoreValue::revision).orElse(KeyValueStore.ABSENT);
+    onRead.accept(result.value().flatMap(this::decode));
+  }
+
+  private Optional<OwnershipRecord> decode(StoreValue value) {
+    try {
+      return Optional.of(codec.decode(value.value(), OwnershipRecord.class));
+    } catch (CodedException unreadable) {
+      log.write("owners_unreadable", "revision={} why=\"{}\"", value.revision(), unreadable);
+      return Optional.empty();
+    }
+  }
+
+  /**
+   * Writes tables. One write at a time.
+   *
+   * @param onDone called once they are durable
+   * @param onOvertaken called with what is stored instead, if somebody else wrote
+   */
+  void write(
+      List<OwnershipTable> tables,
+      Runnable onDone,
+      Consumer<Optional<OwnershipRecord>> onOvertaken) {
+    writing = true;
+    byte[] bytes = codec.encode(new OwnershipRecord(term, tables));
+    store
+        .write(KEY, bytes, revision, Optional.empty())
+        .thenAcceptAsync(result -> onWritten(result, onDone, onOvertaken), control);
+  }
+
+  private void onWritten(
+      WriteResult result, Runnable onDone, Consumer<Optional<OwnershipRecord>> onOvertaken) {
+    if (closed) {
+      return;
+    }
+    if (result.outcome() == StoreOutcome.DONE) {
+      revision = result.revision();
+      writing = false;
+      onDone.run();
+    } else if (result.outcome() == StoreOutcome.UNAVAILABLE) {
+      control.schedule(() -> writing = false, RETRY_MS);
+    } else {
+      log.write("owners_write_unclear", "outcome={}", result.outcome());
+      read(
+          found -> {
+            writing = false;
+            if (found.isPresent() && found.get().term() != term) {
+              onOvertaken.accept(found);
+            }
+          });
+    }
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -0,0 +1,198 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetRegister;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.ports.fleet.RegistryChanges;
+import io.cuminvalve.ports.fleet.RegistryListing;
+import io.cuminvalve.ports.fleet.TargetRegistry;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Follows the registry of targets for as long as it is open.
+ *
+ * <p>Targets rewrite their entries all the time, so a watch that were taken up at once would return
+ * dozens of times a second; it is taken up at a pace. An entry that vanished while the registry was
+ * out of reach may come back: it is kept for a while. All methods are for the control thread.
+ *
+ * @since 0.2
+ */
+final class RegistryFollower {
+
+  /** Pause between two calls: a target that leaves must get nothing after 2 s. */
+  private static final long PACE_MS = 350;
+
+  private static final long WAIT_MS = 5_000;
+  private static final long RETRY_MS = 250;
+
+  /** Entries that lapsed in an outage are back within 2 s of its end; a little more for pace. */
+  private static final long COMEBACK_MS = 2_200;
+
+  /** A single failed call is no outage in which entries lapse: they live for three beats. */
+  private static final long OUTAGE_MS = 700;
+
+  private final TargetRegistry registry;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private final Runnable onChange;
+  private final TargetRegister register = new TargetRegister();
+  private final Map<TargetId, Long> removeAtMs = new HashMap<>();
+  private boolean closed;
+  private boolean listed;
+  private long revision;
+  private long answeredMs;
+  private long keepUntilMs;
+  private boolean outageSeen;
+
+  RegistryFollower(
+      TargetRegistry registry,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      Collection<FleetTarget> known,
+      Runnable onChange) {
+    this.registry = registry;
+    this.control = control;
+    this.clock = clock;
+    this.log = log;
+    this.onChange = onChange;
+    this.answeredMs = clock.nowMs();
+    register.replaceAll(known, true);
+  }
+
+  void start() {
+    if (!closed) {
+      registry.list().thenAcceptAsync(this::onListed, control);
+    }
+  }
+
+  void close() {
+    closed = true;
+  }
+
+  TargetRegister register() {
+    return register;
+  }
+
+  boolean isListed() {
+    return listed;
+  }
+
+  /** Returns how old the newest answer of the registry is; milliseconds. */
+  long ageMs() {
+    return clock.nowMs() - answeredMs;
+  }
+
+  private void onListed(RegistryListing listing) {
+    if (closed) {
+      return;
+    }
+    if (!listing.available()) {
+      outageSeen = true;
+      control.schedule(this::start, RETRY_MS);
+      return;
+    }
+    onAnswer();
+    revision = listing.revision();
+    listed = true;
+    Set<TargetId> present = new HashSet<>();
+    for (FleetTarget target : listing.targets()) {
+      present.add(target.id());
+    }
+    boolean changed = register.replaceAll(listing.targets(), true);
+    for (FleetTarget known : register.all()) {
+      if (present.contains(known.id())) {
+        removeAtMs.remove(known.id());
+      } else {
+        removeAtMs.putIfAbsent(known.id(), Math.max(clock.nowMs(), keepUntilMs));
+      }
+    }
+    tell(changed | removeDue());
+    control.schedule(this::watch, PACE_MS);
+  }
+
+  private void watch() {
+    if (!closed) {
+      registry.changes(revision, WAIT_MS).thenAcceptAsync(this::onChanges, control);
+    }
+  }
+
+  private void onChanges(RegistryChanges changes) {
+    if (closed) {
+      return;
+    }
+    switch (changes.status()) {
+      case ANSWERED -> {
+        onAnswer();
+        take(changes);
+        control.schedule(this::watch, PACE_MS);
+      }
+      case HISTORY_LOST -> start();
+      default -> {
+        outageSeen = true;
+        control.schedule(this::watch, RETRY_MS);
+      }
+    }
+  }
+
+  private void onAnswer() {
+    long nowMs = clock.nowMs();
+    if (outageSeen && nowMs - answeredMs > OUTAGE_MS) {
+      keepUntilMs = nowMs + COMEBACK_MS;
+      log.write("registry_regained", "after_ms={}", nowMs - answeredMs);
+    }
+    outageSeen = false;
+    answeredMs = nowMs;
+  }
+
+  private void take(RegistryChanges changes) {
+    revision = Math.max(revision, changes.revision());
+    boolean changed = false;
+    for (FleetTarget target : changes.written()) {
+      removeAtMs.remove(target.id());
+      boolean isNews = register.put(target);
+      changed |= isNews;
+      if (isNews) {
+        log.write(
+            "target_registered",
+            "target={} service={} address={} phase={} cold_ms={}",
+            target.id(),
+            target.service(),
+            target.address(),
+            target.phase(),
+            target.coldMs());
+      }
+    }
+    for (TargetId id : changes.removed()) {
+      removeAtMs.putIfAbsent(id, Math.max(clock.nowMs(), keepUntilMs));
+    }
+    tell(changed | removeDue());
+  }
+
+  private boolean removeDue() {
+    long nowMs = clock.nowMs();
+    boolean changed = false;
+    for (Map.Entry<TargetId, Long> entry : Map.copyOf(removeAtMs).entrySet()) {
+      if (entry.getValue() <= nowMs) {
+        removeAtMs.remove(entry.getKey());
+        changed |= register.remove(entry.getKey());
+        log.write("target_removed", "target={}", entry.getKey());
+      }
+    }
+    return changed;
+  }
+
+  private void tell(boolean changed) {
+    if (changed) {
+      onChange.run();
+    }
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -0,0 +1,190 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.balance.BalancerSettings;
+import io.cuminvalve.core.balance.KeyLoads;
+import io.cuminvalve.core.balance.RangeBalancer;
+import io.cuminvalve.core.balance.RangeMove;
+import io.cuminvalve.core.balance.TargetLoad;
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetRegister;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.KeyRange;
+import io.cuminvalve.core.lease.LeaseDesk;
+import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Decides for one service which target is to own which keys.
+ *
+ * <p>Keys of targets that leave are spread at once; otherwise load is evened out at a pace. All
+ * methods are for the control thread.
+ */
+final class ServiceDuties {
+
+  /** Targets register one after the other: the first assignment waits for a pause this long. */
+  private static final long SETTLE_MS = 2_000;
+
+  /** It waits no longer than this; without it nothing is served. */
+  private static final long LONGEST_SETTLE_MS = 6_000;
+
+  /** Pause between two looks at the load. */
+  private static final long BALANCE_MS = 400;
+
+  /** Moves at the same time: each closes its keys for the rest of the work under way. */
+  private static final int MOVES_AT_ONCE = 4;
+
+  /** A measurement counts for about this long: hot keys come and go within seconds. */
+  private static final double LOAD_MEMORY_MS = 2_500;
+
+  /** Into how many parts the keys of a target that leaves are cut at most. */
+  private static final int SPREAD = 4;
+
+  private final ServiceId service;
+  private final LeaseDesk desk;
+  private final DecisionLog log;
+  private final KeyLoads loads;
+  private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
+  private final long startedMs;
+  private int lastTargetCount;
+  private long targetsChangedMs;
+  private long balancedMs;
+
+  ServiceDuties(ServiceId service, LeaseDesk desk, DecisionLog log, long nowMs) {
+    this.service = service;
+    this.desk = desk;
+    this.log = log;
+    this.loads = new KeyLoads(LOAD_MEMORY_MS, nowMs);
+    this.startedMs = nowMs;
+    this.targetsChangedMs = nowMs;
+    this.balancedMs = nowMs;
+  }
+
+  LeaseDesk desk() {
+    return desk;
+  }
+
+  void onReport(KeyLoadReport report) {
+    int count = Math.min(report.keys().length, report.workMs().length);
+    for (int i = 0; i < count; i++) {
+      int key = report.keys()[i];
+      if (KeyRange.ALL.contains(key)) {
+        loads.add(key, report.workMs()[i]);
+      }
+    }
+  }
+
+  void plan(TargetRegister register, long nowMs) {
+    List<FleetTarget> ready = new ArrayList<>(register.of(service));
+    ready.removeIf(target -> !target.isReady());
+    if (ready.size() != lastTargetCount) {
+      lastTargetCount = ready.size();
+      targetsChangedMs = nowMs;
+    }
+    if (ready.isEmpty()) {
+      return;
+    }
+    if (!desk.isPartitioned()) {
+      partition(ready, nowMs);
+      return;
+    }
+    evacuate(ready, nowMs);
+    if (nowMs - balancedMs >= BALANCE_MS) {
+      balancedMs = nowMs;
+      loads.decay(nowMs);
+      desk.joinNeighbours(nowMs);
+      balance(ready, nowMs);
+    }
+  }
+
+  private void partition(List<FleetTarget> ready, long nowMs) {
+    boolean settled = nowMs - targetsChangedMs >= SETTLE_MS;
+    if (settled || nowMs - startedMs >= LONGEST_SETTLE_MS) {
+      desk.partition(ready);
+      log.write("keys_partitioned", "service={} targets={}", service, ready.size());
+    }
+  }
+
+  /** Gives the keys of targets that leave, or have left, to the least busy of the others. */
+  private void evacuate(List<FleetTarget> ready, long nowMs) {
+    Set<TargetId> usable = new HashSet<>();
+    ready.forEach(target -> usable.add(target.id()));
+    List<KeyRange> homeless = desk.rangesOfOthers(usable::contains);
+    if (homeless.isEmpty()) {
+      return;
+    }
+    Map<TargetId, Double> loadByTarget = new HashMap<>();
+    targetLoads(ready, nowMs)
+        .forEach(
+            target ->
+                loadByTarget.put(
+                    target.id(), target.ranges().stream().mapToDouble(loads::of).sum()));
+    for (KeyRange range : homeless) {
+      for (KeyRange part : parts(range, ready.size())) {
+        FleetTarget least = leastBusy(ready, loadByTarget);
+        desk.move(part, least.id(), nowMs);
+        loadByTarget.merge(least.id(), loads.of(part), Double::sum);
+        log.write("keys_evacuated", "service={} keys={} to={}", service, part, least.id());
+      }
+    }
+  }
+
+  private static FleetTarget leastBusy(List<FleetTarget> ready, Map<TargetId, Double> loads) {
+    return ready.stream()
+        .min(
+            Comparator.comparingDouble(
+                target -> loads.getOrDefault(target.id(), 0.0) / target.slots()))
+        .orElseThrow();
+  }
+
+  private List<KeyRange> parts(KeyRange range, int targets) {
+    int count = Math.min(Math.min(SPREAD, targets), range.size());
+    double share = loads.of(range) / count;
+    List<KeyRange> parts = new ArrayList<>();
+    int first = range.first();
+    double sum = 0;
+    for (int key = range.first(); key < range.last(); key++) {
+      sum += loads.of(key);
+      if (sum >= share && parts.size() < count - 1) {
+        parts.add(new KeyRange(first, key));
+        first = key + 1;
+        sum = 0;
+      }
+    }
+    parts.add(new KeyRange(first, range.last()));
+    return parts;
+  }
+
+  private void balance(List<FleetTarget> ready, long nowMs) {
+    for (RangeMove move : balancer.plan(targetLoads(ready, nowMs), loads, MOVES_AT_ONCE)) {
+      desk.move(move.keys(), move.to(), nowMs);
+      log.write(
+          "keys_moved",
+          "service={} keys={} from={} to={} load={}",
+          service,
+          move.keys(),
+          move.from(),
+          move.to(),
+          loads.of(move.keys()));
+    }
+  }
+
+  private List<TargetLoad> targetLoads(List<FleetTarget> ready, long nowMs) {
+    Map<TargetId, List<KeyRange>> settled = desk.settledRanges(nowMs);
+    Set<TargetId> moving = new HashSet<>(desk.targetsOnTheMove());
+    List<TargetLoad> result = new ArrayList<>();
+    for (FleetTarget target : ready) {
+      List<KeyRange> ranges = settled.getOrDefault(target.id(), List.of());
+      boolean movable = !moving.contains(target.id());
+      result.add(new TargetLoad(target.id(), target.slots(), ranges, movable));
+    }
+    return result;
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -0,0 +1,304 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.CodedException;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.store.LeaseResult;
+import io.cuminvalve.ports.store.ReadResult;
+import io.cuminvalve.ports.store.StoreLeaseId;
+import io.cuminvalve.ports.store.StoreOutcome;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.ports.store.WatchResult;
+import io.cuminvalve.ports.store.WriteResult;
+import io.cuminvalve.wire.RecordCodec;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+
+/**
+ * Takes the term when it is vacant, keeps it, and tells who holds it.
+ *
+ * <p>The term is a key tied to a lease of the store. Its number is the revision at which the key
+ * was written, so every later holder has a higher one. A holder that the store does not answer goes
+ * on for a bounded time, in which it may renew leases at targets but cannot move any, since a move
+ * has to be written first. All methods and callbacks are for the control thread.
+ *
+ * @since 0.2
+ */
+public final class TermLease {
+
+  /** Learns of changes. */
+  public interface Listener {
+
+    /**
+     * This process holds the term now.
+     *
+     * @param term its number
+     */
+    void onGained(long term);
+
+    /** This process holds the term no longer. */
+    void onLost();
+
+    /**
+     * Another process holds the term.
+     *
+     * @param holder who it is; not null
+     */
+    void onOtherHolder(TermNote holder);
+  }
+
+  /** Where the term is kept. */
+  private static final String KEY = "cuminvalve/term";
+
+  /** A vacant term is noticed after this time at the latest; above the store's least of 1 s. */
+  private static final long TTL_MS = 2_000;
+
+  private static final long KEEP_MS = 500;
+  private static final long WATCH_MS = 20_000;
+  private static final long RETRY_MS = 200;
+
+  /** Candidates wait up to this long, so that one of them is usually alone. */
+  private static final long MAX_DELAY_MS = 250;
+
+  private static final long MIN_DELAY_MS = 60;
+
+  private final KeyValueStore store;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final RandomGenerator random;
+  private final DecisionLog log;
+  private final TermNote ownNote;
+  private final boolean firstCandidate;
+  private final long graceMs;
+  private final Listener listener;
+  private final RecordCodec codec = new RecordCodec();
+
+  private boolean closed;
+  private boolean candidate;
+  private long watchedRevision;
+  private boolean holding;
+  private Optional<StoreLeaseId> lease = Optional.empty();
+  private long confirmedMs;
+
+  /**
+   * Creates a lease that does nothing yet.
+   *
+   * @param store keeps the term; not null
+   * @param control the control thread; not null
+   * @param clock the time; not null
+   * @param random spreads candidates; not null
+   * @param log takes decisions; not null
+   * @param ownNote what is written when this process takes the term; not null
+   * @param firstCandidate whether it need not wait before it tries
+   * @param graceMs for how long it goes on without an answer of the store; milliseconds
+   * @param listener learns of changes; not null
+   */
+  public TermLease(
+      KeyValueStore store,
+      ControlThread control,
+      MillisClock clock,
+      RandomGenerator random,
+      DecisionLog log,
+      TermNote ownNote,
+      boolean firstCandidate,
+      long graceMs,
+      Listener listener) {
+    this.store = store;
+    this.control = control;
+    this.clock = clock;
+    this.random = random;
+    this.log = log;
+    this.ownNote = ownNote;
+    this.firstCandidate = firstCandidate;
+    this.graceMs = graceMs;
+    this.listener = listener;
+  }
+
+  /** Starts to watch the term. */
+  public void start() {
+    watch();
+  }
+
+  /**
+   * Gives the term up, if this process holds it, and never takes it again.
+   *
+   * <p>The store's lease is ended, so that another process can take over at once.
+   */
+  public void close() {
+    closed = true;
+    if (holding) {
+      lose("stopping");
+    }
+  }
+
+  /** Asks the store at once whether the term is still ours. */
+  public void confirm() {
+    if (holding) {
+      keep();
+    }
+  }
+
+  /**
+   * Returns when the store last confirmed the term.
+   *
+   * @return a time of the clock; milliseconds
+   */
+  public long confirmedMs() {
+    return confirmedMs;
+  }
+
+  private void watch() {
+    if (closed || holding) {
+      return;
+    }
+    store.watch(KEY, watchedRevision, WATCH_MS).thenAcceptAsync(this::onWatched, control);
+  }
+
+  private void onWatched(WatchResult result) {
+    if (closed || holding) {
+      return;
+    }
+    switch (result.event()) {
+      case CHANGED -> {
+        StoreValue value = result.value().orElseThrow();
+        watchedRevision = value.revision();
+        candidate = false;
+        onNote(value);
+        watch();
+      }
+      case UNCHANGED -> watch();
+      case ABSENT -> {
+        becomeCandidate();
+        control.schedule(this::watch, RETRY_MS);
+      }
+      case UNAVAILABLE -> control.schedule(this::watch, RETRY_MS);
+      default -> throw new IllegalStateException("unknown event " + result.event());
+    }
+  }
+
+  private void onNote(StoreValue value) {
+    try {
+      listener.onOtherHolder(codec.decode(value.value(), TermNote.class));
+    } catch (CodedException unreadable) {
+      log.write("term_unreadable", "revision={} why=\"{}\"", value.revision(), unreadable);
+    }
+  }
+
+  private void becomeCandidate() {
+    if (candidate) {
+      return;
+    }
+    candidate = true;
+    long delayMs = firstCandidate ? 0 : random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS);
+    control.schedule(this::apply, delayMs);
+  }
+
+  private void apply() {
+    if (candidate && !closed && !holding) {
+      long sentMs = clock.nowMs();
+      store.createLease(TTL_MS).thenAcceptAsync(result -> onLeaseCreated(result, sentMs), control);
+    }
+  }
+
+  private void onLeaseCreated(LeaseResult result, long sentMs) {
+    if (!candidate || closed) {
+      result.lease().ifPresent(store::endLease);
+      return;
+    }
+    if (result.lease().isEmpty()) {
+      control.schedule(this::apply, RETRY_MS);
+      return;
+    }
+    StoreLeaseId created = result.lease().get();
+    store
+        .write(KEY, codec.encode(ownNote), KeyValueStore.ABSENT, Optional.of(created))
+        .thenAcceptAsync(written -> onWritten(written, created, sentMs), control);
+  }
+
+  private void onWritten(WriteResult written, StoreLeaseId created, long sentMs) {
+    switch (written.outcome()) {
+      case DONE -> gain(written.revision(), created, sentMs);
+      case UNKNOWN -> store.read(KEY).thenAcceptAsync(r -> onReadBack(r, created, sentMs), control);
+      default -> {
+        candidate = false;
+        store.endLease(created);
+      }
+    }
+  }
+
+  /** A write without an answer is looked up, never guessed. */
+  private void onReadBack(ReadResult result, StoreLeaseId created, long sentMs) {
+    Optional<StoreValue> ours = result.value().filter(this::isOurs);
+    if (ours.isPresent()) {
+      gain(ours.get().revision(), created, sentMs);
+    } else {
+      // Without its lease the write can no longer take effect, should it still be on its way.
+      candidate = false;
+      store.endLease(created);
+    }
+  }
+
+  private boolean isOurs(StoreValue value) {
+    try {
+      return codec.decode(value.value(), TermNote.class).equals(ownNote);
+    } catch (CodedException unreadable) {
+      log.write("term_unreadable", "revision={} why=\"{}\"", value.revision(), unreadable);
+      return false;
+    }
+  }
+
+  private void gain(long term, StoreLeaseId created, long sentMs) {
+    candidate = false;
+    if (closed) {
+      store.endLease(created);
+      return;
+    }
+    holding = true;
+    lease = Optional.of(created);
+    confirmedMs = sentMs;
+    log.write("term_gained", "term={}", term);
+    listener.onGained(term);
+    control.schedule(this::keepRepeatedly, KEEP_MS);
+  }
+
+  private void keepRepeatedly() {
+    if (!holding) {
+      return;
+    }
+    if (clock.nowMs() - confirmedMs > graceMs) {
+      lose("not_confirmed");
+      watch();
+      return;
+    }
+    keep();
+    control.schedule(this::keepRepeatedly, KEEP_MS);
+  }
+
+  private void keep() {
+    StoreLeaseId kept = lease.orElseThrow();
+    long sentMs = clock.nowMs();
+    store.keepAlive(kept).thenAcceptAsync(outcome -> onKept(kept, outcome, sentMs), control);
+  }
+
+  private void onKept(StoreLeaseId kept, StoreOutcome outcome, long sentMs) {
+    if (!holding || !lease.equals(Optional.of(kept))) {
+      return;
+    }
+    if (outcome == StoreOutcome.DONE) {
+      confirmedMs = Math.max(confirmedMs, sentMs);
+    } else if (outcome == StoreOutcome.CONFLICT) {
+      lose("lapsed");
+      watch();
+    }
+  }
+
+  private void lose(String why) {
+    holding = false;
+    lease.ifPresent(store::endLease);
+    lease = Optional.empty();
+    log.write("term_lost", "why={}", why);
+    listener.onLost();
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines for decisions, bounded in volume. */
+package io.cuminvalve.gateway.observe;
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -0,0 +1,225 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.kernel.MillisClock;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Predicate;
+import java.util.random.RandomGenerator;
+
+/**
+ * Gives requests a slot at a target, at once or as soon as there is one.
+ *
+ * <p>All gateways together must not fill the queue of a target, since some targets never answer
+ * what they cannot queue: each gateway keeps to its even part. Requests that wait are served by
+ * priority, then in the order of arrival. A key goes to its owner only; a request without a key
+ * goes where it is likely to be answered first.
+ *
+ * @since 0.2
+ */
+final class Dispatcher {
+
+  /** Requests that all gateways together may have at a target, for each of its slots. */
+  private static final int REQUESTS_PER_SLOT = 4;
+
+  /** How much worse a target in another data centre has to be considered; covers its bytes. */
+  private static final double REMOTE_COST = 1.1;
+
+  /** Costs differ by up to this share at random, so that gateways do not all choose the same. */
+  private static final double SPREAD = 0.3;
+
+  /** Weight of the newest answer in the mean time of a route. */
+  private static final double NEWEST = 0.05;
+
+  private final RoutingState state;
+  private final DataCentreId dataCentre;
+  private final MillisClock clock;
+  private final RandomGenerator random;
+  private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
+  private final Map<ServiceId, PriorityQueue<PlacementWish>> waiting = new HashMap<>();
+  private final Map<String, Double> meanTimeByRouteMs = new HashMap<>();
+  private long nextOrder;
+
+  Dispatcher(
+      RoutingState state, DataCentreId dataCentre, MillisClock clock, RandomGenerator random) {
+    this.state = state;
+    this.dataCentre = dataCentre;
+    this.clock = clock;
+    this.random = random;
+    state.onChange(this::onRoutingChanged);
+  }
+
+  /** Places a request now, or as soon as it can be. */
+  void submit(PlacementWish wish) {
+    Optional<Slot> slot;
+    synchronized (this) {
+      wish.setOrder(nextOrder++);
+      slot = tryPlace(wish, state.current());
+      if (slot.isEmpty()) {
+        waiting.computeIfAbsent(wish.service(), id -> newQueue()).add(wish);
+      }
+    }
+    slot.ifPresent(wish::placed);
+  }
+
+  /** Withdraws a request that waits. Tells whether it did. */
+  synchronized boolean withdraw(PlacementWish wish) {
+    PriorityQueue<PlacementWish> queue = waiting.get(wish.service());
+    return queue != null && queue.remove(wish);
+  }
+
+  /** Gives a slot back and learns from how the attempt went. */
+  void giveBack(Slot slot, PlacementWish wish, AttemptEnd end, long tookMs) {
+    synchronized (this) {
+      TargetSlots slots = slotsOf(slot.target().id());
+      slots.giveBack();
+      learn(slots, wish.route().name(), end, tookMs);
+    }
+    serveWaiting(slot.target().service());
+  }
+
+  private void learn(TargetSlots slots, String route, AttemptEnd end, long tookMs) {
+    switch (end) {
+      case ANSWERED -> {
+        double mean = meanTimeByRouteMs.getOrDefault(route, Math.max(1.0, tookMs));
+        slots.onAnswer(tookMs / mean);
+        meanTimeByRouteMs.put(route, Math.max(1.0, mean + NEWEST * (tookMs - mean)));
+      }
+      case FAILED -> slots.onFailedAnswer();
+      case NO_ANSWER -> slots.onNoAnswer(clock.nowMs());
+      default -> {
+        // It says nothing of the target.
+      }
+    }
+  }
+
+  private void onRoutingChanged() {
+    List<ServiceId> services;
+    synchronized (this) {
+      services = List.copyOf(waiting.keySet());
+      Predicate<TargetId> isGone = id -> state.current().target(id).isEmpty();
+      slotsByTarget.entrySet().removeIf(e -> e.getValue().inUse() == 0 && isGone.test(e.getKey()));
+    }
+    services.forEach(this::serveWaiting);
+  }
+
+  /** Looks at those that wait once more, for example because a pause is over. */
+  void serveWaiting(ServiceId service) {
+    Map<PlacementWish, Slot> placed = new HashMap<>();
+    synchronized (this) {
+      PriorityQueue<PlacementWish> queue = waiting.get(service);
+      if (queue == null || queue.isEmpty()) {
+        return;
+      }
+      placeFrom(queue, placed);
+    }
+    placed.forEach(PlacementWish::placed);
+  }
+
+  private void placeFrom(PriorityQueue<PlacementWish> queue, Map<PlacementWish, Slot> placed) {
+    RoutingSnapshot snapshot = state.current();
+    List<PlacementWish> left = new ArrayList<>();
+    while (!queue.isEmpty()) {
+      PlacementWish wish = queue.poll();
+      Optional<Slot> slot = tryPlace(wish, snapshot);
+      if (slot.isPresent()) {
+        placed.put(wish, slot.get());
+      } else {
+        left.add(wish);
+      }
+    }
+    queue.addAll(left);
+  }
+
+  private Optional<Slot> tryPlace(PlacementWish wish, RoutingSnapshot snapshot) {
+    Optional<FleetTarget> target =
+        wish.key().isPresent() ? ownerOf(wish, snapshot) : bestOf(wish, snapshot);
+    return target.map(
+        found -> {
+          slotsOf(found.id()).take();
+          return new Slot(found);
+        });
+  }
+
+  private Optional<FleetTarget> ownerOf(PlacementWish wish, RoutingSnapshot snapshot) {
+    if (!wish.accepts(snapshot.ownersVersion())) {
+      return Optional.empty();
+    }
+    return snapshot
+        .owners(wish.service())
+        .flatMap(owners -> owners.find(wish.key().getAsInt()))
+        .filter(RangeRoute::open)
+        .flatMap(range -> snapshot.target(range.owner()))
+        .filter(target -> target.isReady() && hasRoom(target, snapshot));
+  }
+
+  private Optional<FleetTarget> bestOf(PlacementWish wish, RoutingSnapshot snapshot) {
+    FleetTarget best = null;
+    double bestCost = Double.MAX_VALUE;
+    Set<TargetId> skipped = skippedBy(wish, snapshot);
+    for (FleetTarget target : snapshot.ready(wish.service())) {
+      if (skipped.contains(target.id()) || !hasRoom(target, snapshot)) {
+        continue;
+      }
+      double cost = slotsOf(target.id()).cost(target.slots());
+      cost *= target.dataCentre().equals(dataCentre) ? 1 : REMOTE_COST;
+      cost *= 1 + SPREAD * random.nextDouble();
+      if (cost < bestCost) {
+        best = target;
+        bestCost = cost;
+      }
+    }
+    return Optional.ofNullable(best);
+  }
+
+  /** Targets tried before and those in a pause; none of them if there is no other. */
+  private Set<TargetId> skippedBy(PlacementWish wish, RoutingSnapshot snapshot) {
+    long nowMs = clock.nowMs();
+    Set<TargetId> skipped = new HashSet<>(wish.tried());
+    boolean othersLeft = false;
+    for (FleetTarget target : snapshot.ready(wish.service())) {
+      if (slotsOf(target.id()).isPaused(nowMs)) {
+        skipped.add(target.id());
+      }
+      othersLeft |= !skipped.contains(target.id());
+    }
+    return othersLeft ? skipped : wish.tried();
+  }
+
+  private boolean hasRoom(FleetTarget target, RoutingSnapshot snapshot) {
+    int forAll = target.slots() * REQUESTS_PER_SLOT;
+    int ours = Math.max(1, forAll / Math.max(1, snapshot.processes()));
+    return slotsOf(target.id()).inUse() < ours;
+  }
+
+  private TargetSlots slotsOf(TargetId id) {
+    return slotsByTarget.computeIfAbsent(id, unknown -> new TargetSlots());
+  }
+
+  /** Returns how many requests wait. */
+  synchronized int waitingCount() {
+    int count = 0;
+    for (Iterator<PriorityQueue<PlacementWish>> i = waiting.values().iterator(); i.hasNext(); ) {
+      count += i.next().size();
+    }
+    return count;
+  }
+
+  private static PriorityQueue<PlacementWish> newQueue() {
+    return new PriorityQueue<>(
+        Comparator.comparingInt((PlacementWish wish) -> wish.route().priority())
+            .thenComparingLong(PlacementWish::order));
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -0,0 +1,34 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.gateway.RequestHeaders;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.router.request.Timers;
+import io.cuminvalve.router.target.TargetClient;
+import java.util.function.BooleanSupplier;
+
+/**
+ * What every exchange uses.
+ *
+ * @param state what routing knows; not null
+ * @param dispatcher gives slots; not null
+ * @param client talks to targets; not null
+ * @param budgets bound repeats; not null
+ * @param keyWork sums up the work of keys; not null
+ * @param timers run deadlines; not null
+ * @param clock the time; not null
+ * @param headers the header fields in use; not null
+ * @param log takes decisions; not null
+ * @param stopping whether this process is about to end; not null
+ */
+record ExchangeServices(
+    RoutingState state,
+    Dispatcher dispatcher,
+    TargetClient client,
+    RepeatBudgets budgets,
+    KeyWorkMeter keyWork,
+    Timers timers,
+    MillisClock clock,
+    RequestHeaders headers,
+    DecisionLog log,
+    BooleanSupplier stopping) {}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -0,0 +1,175 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.router.caller.CallerHeaders;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * Takes requests of callers: finds the route, reads the body, starts the exchange.
+ *
+ * <p>Without a configuration it answers 503, never 404: what it does not know may well exist.
+ */
+final class GatewayHandler extends Handler.Abstract.NonBlocking {
+
+  private static final long RETRY_AFTER_MS = 250;
+  private static final int KEY_LIMIT = 65_536;
+
+  private final ExchangeServices services;
+  private final RandomGenerator random;
+  private final AtomicInteger inFlight = new AtomicInteger();
+
+  GatewayHandler(ExchangeServices services, RandomGenerator random) {
+    this.services = services;
+    this.random = random;
+  }
+
+  /** Returns how many requests have been read and not answered. */
+  int inFlight() {
+    return inFlight.get();
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) {
+    final long arrivedMs = services.clock().nowMs();
+    Optional<RoutingConfiguration> configuration = services.state().current().configuration();
+    if (configuration.isEmpty()) {
+      refuse(request, response, CallerAnswer.UNAVAILABLE, "no_configuration", callback);
+      return true;
+    }
+    Optional<Route> route =
+        configuration.get().find(hostOf(request), request.getHttpURI().getPath());
+    if (route.isEmpty()) {
+      refuse(request, response, CallerAnswer.NOT_FOUND, "no_route", callback);
+      return true;
+    }
+    if (request.getLength() > configuration.get().bounds().maxBodyBytes()) {
+      refuse(request, response, CallerAnswer.TOO_LARGE, "body_too_large", callback);
+      return true;
+    }
+    inFlight.incrementAndGet();
+    if (hasBody(request)) {
+      readBody(request, response, callback, configuration.get(), route.get(), arrivedMs);
+    } else {
+      begin(request, response, callback, configuration.get(), route.get(), arrivedMs, new byte[0]);
+    }
+    return true;
+  }
+
+  private static String hostOf(Request request) {
+    String host = Request.getServerName(request);
+    return host == null ? "" : host.toLowerCase(Locale.ROOT);
+  }
+
+  private static boolean hasBody(Request request) {
+    return request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+  }
+
+  private void readBody(
+      Request request,
+      Response response,
+      Callback callback,
+      RoutingConfiguration configuration,
+      Route route,
+      long arrivedMs) {
+    int limit = (int) Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
+    Content.Source.asByteArrayAsync(request, limit)
+        .whenComplete(
+            (body, failure) -> {
+              if (failure == null) {
+                begin(request, response, callback, configuration, route, arrivedMs, body);
+              } else {
+                inFlight.decrementAndGet();
+                callback.failed(failure);
+              }
+            });
+  }
+
+  private void begin(
+      Request request,
+      Response response,
+      Callback callback,
+      RoutingConfiguration configuration,
+      Route route,
+      long arrivedMs,
+      byte[] body) {
+    ServiceId service = route.choose(random.nextDouble());
+    String attemptId = request.getHeaders().get(services.headers().attemptId());
+    OptionalInt key = OptionalInt.empty();
+    if (configuration.isKeyed(service)) {
+      key = keyOf(request);
+      if (key.isEmpty()) {
+        inFlight.decrementAndGet();
+        refuse(request, response, CallerAnswer.BAD_REQUEST, "no_key", callback);
+        return;
+      }
+    }
+    CallerRequest call =
+        new CallerRequest(
+            request,
+            response,
+            callback,
+            attemptId == null ? "" : attemptId,
+            route,
+            service,
+            key,
+            CallerHeaders.passedOn(request.getHeaders()),
+            body,
+            arrivedMs,
+            arrivedMs + Math.min(route.timeoutMs(), callerTimeMs(request, route)));
+    new GatewayExchange(services, call, inFlight::decrementAndGet).start();
+  }
+
+  private OptionalInt keyOf(Request request) {
+    String text = request.getHeaders().get(services.headers().key());
+    if (text == null) {
+      return OptionalInt.empty();
+    }
+    try {
+      int key = Integer.parseInt(text.trim());
+      return key >= 0 && key < KEY_LIMIT ? OptionalInt.of(key) : OptionalInt.empty();
+    } catch (NumberFormatException noNumber) {
+      return OptionalInt.empty();
+    }
+  }
+
+  private long callerTimeMs(Request request, Route route) {
+    String text = request.getHeaders().get(services.headers().deadlineMs());
+    if (text == null) {
+      return route.timeoutMs();
+    }
+    try {
+      return Math.max(1, Long.parseLong(text.trim()));
+    } catch (NumberFormatException noNumber) {
+      return route.timeoutMs();
+    }
+  }
+
+  private void refuse(
+      Request request, Response response, int status, String reason, Callback callback) {
+    services
+        .log()
+        .write(
+            "request_refused",
+            "id={} host={} path={} status={} why={}",
+            request.getHeaders().get(services.headers().attemptId()),
+            hostOf(request),
+            request.getHttpURI().getPath(),
+            status,
+            reason);
+    long retryAfterMs = status == CallerAnswer.UNAVAILABLE ? RETRY_AFTER_MS : 0;
+    boolean closes = services.stopping().getAsBoolean();
+    CallerAnswer.own(response, status, retryAfterMs, closes, callback);
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -0,0 +1,174 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.gateway.GatewaySettings;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.CodedException;
+import io.cuminvalve.kernel.ErrorCode;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.router.caller.WatchingConnector;
+import io.cuminvalve.router.target.TargetClient;
+import io.cuminvalve.router.target.TargetClientLimits;
+import io.cuminvalve.router.wiring.RequestTimers;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+
+/**
+ * Listens for callers and for the question whether this gateway is ready, and carries requests.
+ *
+ * @since 0.2
+ */
+public final class GatewayServer {
+
+  private static final int MAX_THREADS = 12;
+  private static final int MIN_THREADS = 3;
+  private static final int ACCEPT_BACKLOG = 512;
+  private static final int MAX_HEADER_BYTES = 32 * 1024;
+
+  /** Longer than callers leave a connection unused before they use it again. */
+  private static final long CALLER_IDLE_MS = 120_000;
+
+  /** A target that is there accepts within a few milliseconds; a silent one never does. */
+  private static final long CONNECT_TIMEOUT_MS = 300;
+
+  /** Shorter than the time after which targets close unused connections, 10 s as announced. */
+  private static final long TARGET_IDLE_MS = 7_000;
+
+  private static final int TARGET_THREADS = 8;
+
+  private final Server server;
+  private final ServerConnector callers;
+  private final ServerConnector readiness;
+  private final TargetClient client;
+  private final RequestTimers timers = new RequestTimers();
+  private final KeyWorkMeter keyWork = new KeyWorkMeter();
+  private final GatewayHandler handler;
+
+  /**
+   * Creates a server that does not listen yet.
+   *
+   * @param settings where it listens; not null
+   * @param state what routing knows; not null
+   * @param clock the time; not null
+   * @param log takes decisions; not null
+   * @param ready whether callers may be sent here; not null
+   * @param stopping whether this process is about to end; not null
+   */
+  public GatewayServer(
+      GatewaySettings settings,
+      RoutingState state,
+      MillisClock clock,
+      DecisionLog log,
+      BooleanSupplier ready,
+      BooleanSupplier stopping) {
+    SplittableRandom random = new SplittableRandom();
+    this.client =
+        new TargetClient(
+            new TargetClientLimits(
+                CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
+            address -> Integer.MAX_VALUE);
+    Dispatcher dispatcher =
+        new Dispatcher(state, new DataCentreId(settings.dataCentre()), clock, random.split());
+    ExchangeServices services =
+        new ExchangeServices(
+            state,
+            dispatcher,
+            client,
+            new RepeatBudgets(settings, clock),
+            keyWork,
+            timers,
+            clock,
+            settings.headers(),
+            log,
+            stopping);
+    this.handler = new GatewayHandler(services, random.split());
+    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+    threads.setName("caller");
+    threads.setDaemon(true);
+    this.server = new Server(threads);
+    this.callers = connector(settings.callerAddress());
+    this.readiness = connector(settings.readinessAddress());
+    server.setHandler(new ReadinessHandler(readiness, settings.readinessPath(), ready, handler));
+  }
+
+  private ServerConnector connector(InetSocketAddress address) {
+    HttpConfiguration http = new HttpConfiguration();
+    http.setSendServerVersion(false);
+    http.setSendDateHeader(false);
+    http.setRequestHeaderSize(MAX_HEADER_BYTES);
+    http.setResponseHeaderSize(MAX_HEADER_BYTES);
+    http.setUriCompliance(UriCompliance.UNSAFE);
+    ServerConnector connector = new WatchingConnector(server, new HttpConnectionFactory(http));
+    connector.setHost(address.getHostString());
+    connector.setPort(address.getPort());
+    connector.setIdleTimeout(CALLER_IDLE_MS);
+    connector.setAcceptQueueSize(ACCEPT_BACKLOG);
+    server.addConnector(connector);
+    return connector;
+  }
+
+  /** Opens the ports. */
+  public void start() {
+    client.start();
+    try {
+      server.start();
+    } catch (Exception e) {
+      throw new CodedException(
+          ErrorCode.UNAVAILABLE, "a port cannot be opened: " + e.getMessage(), e);
+    }
+  }
+
+  /** Closes the ports and every connection. */
+  public void stop() {
+    try {
+      server.stop();
+    } catch (Exception e) {
+      throw new CodedException(ErrorCode.INTERNAL, "the server does not stop", e);
+    }
+    client.stop();
+    timers.stop();
+  }
+
+  /**
+   * Returns how many requests have no answer yet.
+   *
+   * @return at least 0
+   */
+  public int inFlight() {
+    return handler.inFlight();
+  }
+
+  /**
+   * Returns the meter of the work that keys cause.
+   *
+   * @return never null
+   */
+  public KeyWorkMeter keyWork() {
+    return keyWork;
+  }
+
+  /**
+   * Returns the port for callers.
+   *
+   * @return the port, once started
+   */
+  public int callerPort() {
+    return callers.getLocalPort();
+  }
+
+  /**
+   * Returns the port for the question of readiness.
+   *
+   * @return the port, once started
+   */
+  public int readinessPort() {
+    return readiness.getLocalPort();
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ReadinessHandler.java
@@ -0,0 +1,36 @@
+package io.cuminvalve.gateway.traffic;
+
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Connector;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Answers on its own port whether this gateway is ready; everything else is traffic. */
+final class ReadinessHandler extends Handler.Wrapper {
+
+  private final Connector readinessConnector;
+  private final String path;
+  private final BooleanSupplier ready;
+
+  ReadinessHandler(
+      Connector readinessConnector, String path, BooleanSupplier ready, Handler traffic) {
+    super(traffic);
+    this.readinessConnector = readinessConnector;
+    this.path = path;
+    this.ready = ready;
+  }
+
+  @Override
+  public boolean handle(Request request, Response response, Callback callback) throws Exception {
+    if (request.getConnectionMetaData().getConnector() != readinessConnector) {
+      return super.handle(request, response, callback);
+    }
+    boolean known = path.equals(request.getHttpURI().getPath());
+    int status = ready.getAsBoolean() ? HttpStatus.OK_200 : HttpStatus.SERVICE_UNAVAILABLE_503;
+    CallerAnswer.own(response, known ? status : HttpStatus.NOT_FOUND_404, 0, false, callback);
+    return true;
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RepeatBudgets.java
@@ -0,0 +1,42 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.retry.SharedRetryBudget;
+import io.cuminvalve.gateway.GatewaySettings;
+import io.cuminvalve.kernel.MillisClock;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The budgets for repeats, one for each service. Safe for use by several threads. */
+final class RepeatBudgets {
+
+  /** Part of the budget that is used: gateways may be fewer or more than is known. */
+  private static final double USED_SHARE = 0.6;
+
+  private final GatewaySettings settings;
+  private final MillisClock clock;
+  private final Map<ServiceId, SharedRetryBudget> budgets = new HashMap<>();
+
+  RepeatBudgets(GatewaySettings settings, MillisClock clock) {
+    this.settings = settings;
+    this.clock = clock;
+  }
+
+  synchronized void onRequest(ServiceId service) {
+    budgetOf(service).onRequest(clock.nowMs());
+  }
+
+  synchronized boolean tryRepeat(ServiceId service, int processes) {
+    return budgetOf(service).tryRepeat(processes, clock.nowMs());
+  }
+
+  private SharedRetryBudget budgetOf(ServiceId service) {
+    return budgets.computeIfAbsent(
+        service,
+        id ->
+            new SharedRetryBudget(
+                settings.repeatShare() * USED_SHARE,
+                settings.repeatsPerFleet() * USED_SHARE,
+                settings.repeatWindowMs()));
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
@@ -0,0 +1,177 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.route.RoutingConfiguration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * All that routing has to know at one moment. Immutable.
+ *
+ * @since 0.2
+ */
+public final class RoutingSnapshot {
+
+  private final Optional<RoutingConfiguration> configuration;
+  private final Map<TargetId, FleetTarget> targets;
+  private final Map<ServiceId, List<FleetTarget>> readyByService;
+  private final Map<ServiceId, KeyOwners> owners;
+  private final long ownersVersion;
+  private final int processes;
+
+  private RoutingSnapshot(
+      Optional<RoutingConfiguration> configuration,
+      Map<TargetId, FleetTarget> targets,
+      Map<ServiceId, List<FleetTarget>> readyByService,
+      Map<ServiceId, KeyOwners> owners,
+      long ownersVersion,
+      int processes) {
+    this.configuration = configuration;
+    this.targets = targets;
+    this.readyByService = readyByService;
+    this.owners = owners;
+    this.ownersVersion = ownersVersion;
+    this.processes = processes;
+  }
+
+  /**
+   * Returns what a process knows at its start.
+   *
+   * @param processes how many gateways are assumed to run
+   * @return never null
+   */
+  public static RoutingSnapshot initial(int processes) {
+    return new RoutingSnapshot(Optional.empty(), Map.of(), Map.of(), Map.of(), 0, processes);
+  }
+
+  /**
+   * Returns a snapshot with another configuration.
+   *
+   * @param next the configuration; not null
+   * @return never null
+   */
+  public RoutingSnapshot withConfiguration(RoutingConfiguration next) {
+    return new RoutingSnapshot(
+        Optional.of(next), targets, readyByService, owners, ownersVersion, processes);
+  }
+
+  /**
+   * Returns a snapshot with other targets.
+   *
+   * @param next all targets; not null
+   * @return never null
+   */
+  public RoutingSnapshot withTargets(List<FleetTarget> next) {
+    Map<TargetId, FleetTarget> byId = new HashMap<>();
+    Map<ServiceId, List<FleetTarget>> ready = new HashMap<>();
+    for (FleetTarget target : next) {
+      byId.put(target.id(), target);
+      if (target.isReady()) {
+        ready.computeIfAbsent(target.service(), id -> new ArrayList<>()).add(target);
+      }
+    }
+    return new RoutingSnapshot(configuration, byId, ready, owners, ownersVersion, processes);
+  }
+
+  /**
+   * Returns a snapshot with other owners.
+   *
+   * @param next the owners of each service; not null
+   * @return never null
+   */
+  public RoutingSnapshot withOwners(Map<ServiceId, KeyOwners> next) {
+    return new RoutingSnapshot(
+        configuration, targets, readyByService, Map.copyOf(next), ownersVersion + 1, processes);
+  }
+
+  /**
+   * Returns a snapshot with another number of gateways.
+   *
+   * @param next how many run; at least 1
+   * @return never null
+   */
+  public RoutingSnapshot withProcesses(int next) {
+    return new RoutingSnapshot(configuration, targets, readyByService, owners, ownersVersion, next);
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return empty before the first one is known
+   */
+  public Optional<RoutingConfiguration> configuration() {
+    return configuration;
+  }
+
+  /**
+   * Returns the targets that take requests.
+   *
+   * @param service the service; not null
+   * @return never null
+   */
+  public List<FleetTarget> ready(ServiceId service) {
+    return readyByService.getOrDefault(service, List.of());
+  }
+
+  /**
+   * Finds a target.
+   *
+   * @param id the target; not null
+   * @return empty if it is not registered
+   */
+  public Optional<FleetTarget> target(TargetId id) {
+    return Optional.ofNullable(targets.get(id));
+  }
+
+  /**
+   * Returns all targets.
+   *
+   * @return in no particular order; never null
+   */
+  public Collection<FleetTarget> targets() {
+    return targets.values();
+  }
+
+  /**
+   * Returns the owners of the keys of a service.
+   *
+   * @param service the service; not null
+   * @return empty if they are not known
+   */
+  public Optional<KeyOwners> owners(ServiceId service) {
+    return Optional.ofNullable(owners.get(service));
+  }
+
+  /**
+   * Returns a number that grows whenever owners change.
+   *
+   * @return at least 0
+   */
+  public long ownersVersion() {
+    return ownersVersion;
+  }
+
+  /**
+   * Returns how many gateways run.
+   *
+   * @return at least 1
+   */
+  public int processes() {
+    return processes;
+  }
+
+  /**
+   * Tells whether requests can be served.
+   *
+   * @return false while the configuration or the targets are unknown
+   */
+  public boolean isUsable() {
+    return configuration.isPresent() && !targets.isEmpty();
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -0,0 +1,53 @@
+package io.cuminvalve.gateway.traffic;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
+
+/**
+ * The newest {@link RoutingSnapshot}. Changed by the control thread, read by all.
+ *
+ * @since 0.2
+ */
+public final class RoutingState {
+
+  private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
+  private volatile RoutingSnapshot snapshot;
+
+  /**
+   * Creates the state of a process that knows nothing.
+   *
+   * @param processes how many gateways are assumed to run
+   */
+  public RoutingState(int processes) {
+    this.snapshot = RoutingSnapshot.initial(processes);
+  }
+
+  /**
+   * Returns the newest snapshot.
+   *
+   * @return never null
+   */
+  public RoutingSnapshot current() {
+    return snapshot;
+  }
+
+  /**
+   * Replaces the snapshot and tells the listeners. For the control thread only.
+   *
+   * @param change makes the next snapshot from the last one; not null
+   */
+  public void update(UnaryOperator<RoutingSnapshot> change) {
+    snapshot = change.apply(snapshot);
+    listeners.forEach(Runnable::run);
+  }
+
+  /**
+   * Adds a listener, which is called on the control thread after each change.
+   *
+   * @param listener must not block; not null
+   */
+  public void onChange(Runnable listener) {
+    listeners.add(listener);
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -0,0 +1,188 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.gateway.RequestHeaders;
+import io.cuminvalve.router.target.TargetAnswer;
+import io.cuminvalve.router.target.TargetExchange;
+import io.cuminvalve.router.target.TargetListener;
+import io.cuminvalve.router.target.TargetRequest;
+import java.net.InetSocketAddress;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.io.Content;
+
+/**
+ * One attempt to have a target run a request.
+ *
+ * <p>An answer counts only if it is whole and carries the id of this attempt: a target may answer
+ * twice, or late, or send bytes that belong to no request. Whatever is odd closes the connection.
+ */
+final class TargetAttempt implements TargetListener {
+
+  /** How an attempt ended. */
+  interface Listener {
+
+    /** The target answered, whole, and the request ran. */
+    void onAnswer(TargetAttempt attempt, int status, HttpFields headers, byte[] body);
+
+    /** The target proves that it did not run the request and never will. */
+    void onNotExecuted(TargetAttempt attempt, int status);
+
+    /** No usable answer. */
+    void onFailure(TargetAttempt attempt, boolean mayHaveRun, String reason);
+  }
+
+  /** Answers are kept whole before they are passed on; larger ones are cut off. */
+  private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+
+  private static final int MISDIRECTED = 421;
+  private static final int FIRST_ERROR_STATUS = 500;
+
+  private final ExchangeServices services;
+  private final CallerRequest call;
+  private final PlacementWish wish;
+  private final Slot slot;
+  private final Listener listener;
+  private final TargetExchange exchange;
+  private final AtomicBoolean released = new AtomicBoolean();
+  private final AtomicBoolean ended = new AtomicBoolean();
+  private volatile AttemptEnd end = AttemptEnd.GIVEN_UP;
+  private volatile long sentMs;
+
+  TargetAttempt(
+      ExchangeServices services,
+      CallerRequest call,
+      PlacementWish wish,
+      Slot slot,
+      Listener listener) {
+    this.services = services;
+    this.call = call;
+    this.wish = wish;
+    this.slot = slot;
+    this.listener = listener;
+    this.sentMs = services.clock().nowMs();
+    this.exchange = services.client().prepare(targetRequest(), this);
+  }
+
+  private TargetRequest targetRequest() {
+    String address = slot.target().address();
+    int colon = address.lastIndexOf(':');
+    InetSocketAddress socketAddress =
+        new InetSocketAddress(
+            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    HttpFields.Mutable headers = HttpFields.build(call.headers());
+    headers.put(services.headers().targetId(), slot.target().id().value());
+    return new TargetRequest(
+        socketAddress,
+        call.request().getMethod(),
+        call.request().getHttpURI().getPathQuery(),
+        headers,
+        content());
+  }
+
+  private Request.Content content() {
+    boolean declared =
+        call.request().getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+            || call.request().getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    if (!declared) {
+      return null;
+    }
+    return new BytesRequestContent(
+        call.request().getHeaders().get(HttpHeader.CONTENT_TYPE), call.body());
+  }
+
+  FleetTarget target() {
+    return slot.target();
+  }
+
+  void start() {
+    exchange.start();
+  }
+
+  /** Ends the attempt and closes its connection, so that the target stops working on it. */
+  void abandon(String reason) {
+    ended.set(true);
+    exchange.abandon(reason);
+  }
+
+  boolean isHandedOver() {
+    return exchange.isHandedOver();
+  }
+
+  @Override
+  public boolean onConnection(HttpFields.Mutable headers) {
+    sentMs = services.clock().nowMs();
+    long remainingMs = call.deadlineMs() - sentMs;
+    if (ended.get() || remainingMs <= 0) {
+      return false;
+    }
+    headers.put(services.headers().deadlineMs(), remainingMs);
+    return true;
+  }
+
+  @Override
+  public void onAnswer(TargetAnswer answer) {
+    RequestHeaders names = services.headers();
+    HttpFields headers = answer.headers();
+    boolean notExecuted = headers.contains(names.notExecuted()) || answer.status() == MISDIRECTED;
+    String echoed = headers.get(names.attemptId());
+    boolean ours = call.attemptId().equals(echoed) || (notExecuted && echoed == null);
+    if (!ours || headers.contains(HttpHeader.CONTENT_ENCODING)) {
+      exchange.abandon("the answer belongs to another request");
+      fail(true, "foreign_answer");
+      return;
+    }
+    Content.Source.asByteArrayAsync(answer.body(), MAX_ANSWER_BYTES)
+        .whenComplete((body, cut) -> onWhole(answer, notExecuted, body, cut));
+  }
+
+  private void onWhole(TargetAnswer answer, boolean notExecuted, byte[] body, Throwable cut) {
+    if (cut != null) {
+      exchange.abandon("the answer was cut");
+      fail(true, "cut_answer");
+      return;
+    }
+    if (notExecuted) {
+      end = AttemptEnd.FAILED;
+      if (ended.compareAndSet(false, true)) {
+        listener.onNotExecuted(this, answer.status());
+      }
+      return;
+    }
+    end = answer.status() < FIRST_ERROR_STATUS ? AttemptEnd.ANSWERED : AttemptEnd.FAILED;
+    if (ended.compareAndSet(false, true)) {
+      listener.onAnswer(this, answer.status(), answer.headers(), body);
+    }
+  }
+
+  @Override
+  public void onFailure(boolean handedOver, Throwable cause) {
+    fail(handedOver, cause.getClass().getSimpleName());
+  }
+
+  private void fail(boolean mayHaveRun, String reason) {
+    if (ended.compareAndSet(false, true)) {
+      end = AttemptEnd.NO_ANSWER;
+      listener.onFailure(this, mayHaveRun, reason);
+    }
+  }
+
+  /** Counts an attempt that was given up because the target did not answer in time. */
+  void onTooLate() {
+    end = AttemptEnd.NO_ANSWER;
+  }
+
+  @Override
+  public void onReleased() {
+    if (released.compareAndSet(false, true)) {
+      long tookMs = services.clock().nowMs() - sentMs;
+      if (call.key().isPresent() && end != AttemptEnd.GIVEN_UP) {
+        services.keyWork().add(call.service(), call.key().getAsInt(), tookMs);
+      }
+      services.dispatcher().giveBack(slot, wish, end, tookMs);
+    }
+  }
+}
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerServer.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerServer.java
@@ -95,6 +95,4 @@
   public int port() {
     return connector.getLocalPort();
   }
-
-  /** Makes connections that can be watched. */
 }
