Spread hot keys: several moves at once, fastest owner, adaptive limit per target

Change: a busy target gives to several at once; one hot key goes to the fastest target, whose speed gateways report; refused work counts as load; the limit per target follows its answers; requests without key stay in their data centre; refusals go out within a quarter of the latency as the caller sees it. One key beyond the speed of one target is still refused.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
@@ -4,10 +4,8 @@
 import io.cuminvalve.core.lease.KeyRange;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 
 /**
  * Finds the moves that even out the load of a service.
@@ -31,7 +29,7 @@
   }
 
   /**
-   * Finds moves, at most one for each target.
+   * Finds moves. A busy target may give to several others at once.
    *
    * @param targets the targets that may own keys; not null
    * @param loads the load of each key; not null
@@ -39,56 +37,50 @@
    * @return never null
    */
   public List<RangeMove> plan(List<TargetLoad> targets, KeyLoads loads, int mostMoves) {
-    List<Utilisation> byLoad = new ArrayList<>();
+    List<Share> shares = new ArrayList<>();
     double busy = 0;
     double slots = 0;
     for (TargetLoad target : targets) {
       double load = target.ranges().stream().mapToDouble(loads::of).sum();
-      byLoad.add(new Utilisation(target, load));
       busy += load;
       slots += target.slots();
+      if (target.movable()) {
+        shares.add(new Share(target, load));
+      }
     }
-    byLoad.sort(Comparator.comparingDouble(Utilisation::share));
     double mean = slots == 0 ? 0 : busy / slots;
-    return planPairs(byLoad, mean, loads, mostMoves);
-  }
-
-  private List<RangeMove> planPairs(
-      List<Utilisation> byLoad, double mean, KeyLoads loads, int mostMoves) {
     List<RangeMove> moves = new ArrayList<>();
-    Set<TargetId> used = new HashSet<>();
-    int low = 0;
-    for (int high = byLoad.size() - 1; high > low && moves.size() < mostMoves; high--) {
-      Utilisation from = byLoad.get(high);
-      if (!from.target().movable()) {
-        continue;
-      }
-      while (low < high && !byLoad.get(low).target().movable()) {
-        low++;
-      }
-      Utilisation to = byLoad.get(low);
-      if (low >= high || !isWorthwhile(from, to, mean)) {
+    while (moves.size() < mostMoves && shares.size() > 1) {
+      shares.sort(Comparator.comparingDouble(Share::utilisation));
+      Share from = shares.get(shares.size() - 1);
+      Share to = shares.get(0);
+      if (!isWorthwhile(from, to, mean)) {
         break;
       }
-      Optional<KeyRange> keys = cut(from.target().ranges(), wantedLoad(from, to), loads);
-      if (keys.isPresent() && used.add(from.target().id()) && used.add(to.target().id())) {
-        moves.add(new RangeMove(keys.get(), from.target().id(), to.target().id()));
-        low++;
+      Optional<KeyRange> keys = cut(from.ranges, wantedLoad(from, to), loads);
+      if (keys.isEmpty()) {
+        shares.remove(from);
+        continue;
       }
+      moves.add(new RangeMove(keys.get(), from.id, to.id));
+      double moved = loads.of(keys.get());
+      from.give(keys.get(), moved);
+      to.take(moved);
     }
     return moves;
   }
 
-  private boolean isWorthwhile(Utilisation from, Utilisation to, double mean) {
-    boolean uneven = from.share() > mean * settings.triggerRatio();
-    boolean empty = to.target().ranges().isEmpty();
-    return empty || (uneven && from.share() - to.share() > settings.triggerGap());
+  private boolean isWorthwhile(Share from, Share to, double mean) {
+    if (to.isEmpty()) {
+      return true;
+    }
+    double gap = from.utilisation() - to.utilisation();
+    return from.utilisation() > mean * settings.triggerRatio() && gap > settings.triggerGap();
   }
 
-  private static double wantedLoad(Utilisation from, Utilisation to) {
-    double slots = (double) from.target().slots() + to.target().slots();
-    double evenShare = (from.load() + to.load()) / slots;
-    return from.load() - evenShare * from.target().slots();
+  private static double wantedLoad(Share from, Share to) {
+    double evenShare = (from.load + to.load) / ((double) from.slots + to.slots);
+    return from.load - evenShare * from.slots;
   }
 
   private Optional<KeyRange> cut(List<KeyRange> ranges, double wanted, KeyLoads loads) {
@@ -119,11 +111,51 @@
     return Optional.ofNullable(best);
   }
 
-  /** A target with its load. */
-  private record Utilisation(TargetLoad target, double load) {
+  /** A target with its load, as it will be after the moves planned so far. */
+  private static final class Share {
+
+    private final TargetId id;
+    private final int slots;
+    private final List<KeyRange> ranges;
+    private double load;
+    private boolean gains;
 
-    double share() {
-      return load / target.slots();
+    Share(TargetLoad target, double load) {
+      this.id = target.id();
+      this.slots = target.slots();
+      this.ranges = new ArrayList<>(target.ranges());
+      this.load = load;
+    }
+
+    double utilisation() {
+      return load / slots;
+    }
+
+    boolean isEmpty() {
+      return ranges.isEmpty() && !gains;
+    }
+
+    void take(double moved) {
+      load += moved;
+      gains = true;
+    }
+
+    /** Cuts the keys out of the range that has them. */
+    void give(KeyRange keys, double moved) {
+      load -= moved;
+      for (int i = 0; i < ranges.size(); i++) {
+        KeyRange range = ranges.get(i);
+        if (range.contains(keys)) {
+          ranges.remove(i);
+          if (range.first() < keys.first()) {
+            ranges.add(new KeyRange(range.first(), keys.first() - 1));
+          }
+          if (keys.last() < range.last()) {
+            ranges.add(new KeyRange(keys.last() + 1, range.last()));
+          }
+          return;
+        }
+      }
     }
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -44,7 +44,7 @@
     this.settings = settings;
     this.server = new GatewayServer(settings, state, clock, log, this::isReady, () -> stopping);
     this.fleet =
-        new FleetControl(ports, settings, sharedKey, state, control, clock, log, server::keyWork);
+        new FleetControl(ports, settings, sharedKey, state, control, clock, log, server.reports());
   }
 
   /** Starts. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -4,8 +4,8 @@
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
-import io.cuminvalve.gateway.traffic.KeyWorkMeter;
 import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.gateway.traffic.TrafficReports;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SharedKey;
@@ -14,7 +14,6 @@
 import io.cuminvalve.wire.TcpPeerNetwork;
 import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.function.Supplier;
 
 /**
  * Everything of a gateway that is not traffic: configuration, term, targets, owners.
@@ -52,7 +51,7 @@
    * @param control the control thread; not null
    * @param clock the time; not null
    * @param log takes decisions; not null
-   * @param keyWork the work that keys caused; not null
+   * @param reports what traffic measured; not null
    */
   public FleetControl(
       GatewayPorts ports,
@@ -62,7 +61,7 @@
       ControlThread control,
       MillisClock clock,
       DecisionLog log,
-      Supplier<KeyWorkMeter> keyWork) {
+      TrafficReports reports) {
     this.ports = ports;
     this.settings = settings;
     this.state = state;
@@ -89,7 +88,7 @@
             random.split());
     this.configuration = new ConfigurationWatch(ports, state, control, log);
     this.link =
-        new FleetLink(network, state, control, clock, log, ports, settings.process(), keyWork);
+        new FleetLink(network, state, control, clock, log, ports, settings.process(), reports);
     this.termLease =
         new TermLease(
             ports.store(),
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -4,16 +4,18 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
+import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.KeyLoadReport;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsPush;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.traffic.KeyOwners;
-import io.cuminvalve.gateway.traffic.KeyWorkMeter;
 import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.gateway.traffic.TrafficReports;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.wire.PeerChannel;
@@ -22,7 +24,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Supplier;
 
 /**
  * Keeps this gateway and the holder of the term in touch.
@@ -37,6 +38,12 @@
 
   private static final long HELLO_MS = 300;
 
+  /** Pause between two reports of load: a hot key has to be noticed within a second. */
+  private static final long KEY_WORK_MS = 150;
+
+  /** Pause between two reports of times: the speed of a target seldom changes. */
+  private static final long TARGET_TIMES_MS = 1_000;
+
   /** Three hellos without an answer. */
   private static final long SILENT_MS = 950;
 
@@ -53,7 +60,7 @@
   private final DecisionLog log;
   private final GatewayPorts ports;
   private final String process;
-  private final Supplier<KeyWorkMeter> keyWork;
+  private final TrafficReports reports;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
@@ -74,7 +81,7 @@
       DecisionLog log,
       GatewayPorts ports,
       String process,
-      Supplier<KeyWorkMeter> keyWork) {
+      TrafficReports reports) {
     this.network = network;
     this.state = state;
     this.control = control;
@@ -82,12 +89,14 @@
     this.log = log;
     this.ports = ports;
     this.process = process;
-    this.keyWork = keyWork;
+    this.reports = reports;
     this.heardMs = clock.nowMs();
   }
 
   void start() {
     control.scheduleRepeatedly(this::onPace, HELLO_MS);
+    control.scheduleRepeatedly(this::reportKeyWork, KEY_WORK_MS);
+    control.scheduleRepeatedly(this::reportTargetTimes, TARGET_TIMES_MS);
   }
 
   /** This gateway holds the term now, or no longer. */
@@ -113,8 +122,8 @@
   void onMessage(PeerChannel sender, PeerMessage message) {
     if (message instanceof FleetHello hello) {
       onHello(sender, hello);
-    } else if (message instanceof KeyLoadReport report) {
-      duties.ifPresent(d -> d.onReport(report));
+    } else if (message instanceof KeyLoadReport || message instanceof TargetTimesReport) {
+      duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
       onBeat(beat);
     } else if (message instanceof TargetsPush push) {
@@ -126,19 +135,32 @@
 
   private void onPace() {
     if (duties.isPresent()) {
-      keyWork.get().take().forEach(report -> duties.get().onReport(report));
       dropSilentSubscribers();
       return;
     }
     sayHello();
-    holderAddress.ifPresent(
-        address -> keyWork.get().take().forEach(report -> network.send(address, report)));
     boolean silent = clock.nowMs() - heardMs > SILENT_MS;
     if (silent && ownFollower.isEmpty()) {
       openOwnFollower();
     }
   }
 
+  private void reportKeyWork() {
+    reports.takeKeyWork().forEach(this::report);
+  }
+
+  private void reportTargetTimes() {
+    report(reports.takeTargetTimes());
+  }
+
+  private void report(FleetMessage measured) {
+    if (duties.isPresent()) {
+      duties.get().onReport(measured);
+    } else {
+      holderAddress.ifPresent(address -> network.send(address, measured));
+    }
+  }
+
   private void sayHello() {
     FleetHello hello =
         new FleetHello(process, targetsTerm, targetsVersion, routesTerm, routesVersion);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -9,7 +9,10 @@
 import io.cuminvalve.core.lease.OwnershipRecord;
 import io.cuminvalve.core.lease.OwnershipTable;
 import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.protocol.TargetTime;
+import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.ServiceProfile;
 import io.cuminvalve.gateway.GatewayPorts;
@@ -140,13 +143,25 @@
     return follower.ageMs();
   }
 
-  void onReport(KeyLoadReport report) {
-    ServiceDuties service = duties.get(report.service());
-    if (service != null) {
-      service.onReport(report);
+  void onReport(PeerMessage report) {
+    if (report instanceof KeyLoadReport work) {
+      ServiceDuties service = duties.get(work.service());
+      if (service != null) {
+        service.onKeyWork(work);
+      }
+    } else if (report instanceof TargetTimesReport times) {
+      times.times().forEach(this::onTargetTime);
     }
   }
 
+  private void onTargetTime(TargetTime time) {
+    follower
+        .register()
+        .find(time.target())
+        .map(target -> duties.get(target.service()))
+        .ifPresent(service -> service.onTargetTime(time));
+  }
+
   /** Says everything once more, to gateways that lack something. */
   void tellAll() {
     audience.onTargets(term, follower.register().version(), follower.register().all());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -1,10 +1,12 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.balance.BalancerSettings;
+import io.cuminvalve.core.balance.HotKeyPlacement;
 import io.cuminvalve.core.balance.KeyLoads;
 import io.cuminvalve.core.balance.RangeBalancer;
 import io.cuminvalve.core.balance.RangeMove;
 import io.cuminvalve.core.balance.TargetLoad;
+import io.cuminvalve.core.balance.TargetSpeeds;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetRegister;
 import io.cuminvalve.core.id.ServiceId;
@@ -12,6 +14,7 @@
 import io.cuminvalve.core.lease.KeyRange;
 import io.cuminvalve.core.lease.LeaseDesk;
 import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.core.protocol.TargetTime;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -36,13 +39,16 @@
   private static final long LONGEST_SETTLE_MS = 6_000;
 
   /** Pause between two looks at the load. */
-  private static final long BALANCE_MS = 400;
+  private static final long BALANCE_MS = 250;
 
   /** Moves at the same time: each closes its keys for the rest of the work under way. */
-  private static final int MOVES_AT_ONCE = 4;
+  private static final int MOVES_AT_ONCE = 10;
 
   /** A measurement counts for about this long: hot keys come and go within seconds. */
-  private static final double LOAD_MEMORY_MS = 2_500;
+  private static final double LOAD_MEMORY_MS = 1_500;
+
+  /** Share of busy slots from which on requests often wait in a target's queue. */
+  private static final double BUSY_SHARE = 0.7;
 
   /** Into how many parts the keys of a target that leaves are cut at most. */
   private static final int SPREAD = 4;
@@ -51,6 +57,9 @@
   private final LeaseDesk desk;
   private final DecisionLog log;
   private final KeyLoads loads;
+  private final TargetSpeeds speeds = new TargetSpeeds();
+  private final Set<TargetId> busy = new HashSet<>();
+  private final HotKeyPlacement hotKeys = new HotKeyPlacement();
   private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
   private final long startedMs;
   private int lastTargetCount;
@@ -71,7 +80,7 @@
     return desk;
   }
 
-  void onReport(KeyLoadReport report) {
+  void onKeyWork(KeyLoadReport report) {
     int count = Math.min(report.keys().length, report.workMs().length);
     for (int i = 0; i < count; i++) {
       int key = report.keys()[i];
@@ -81,6 +90,13 @@
     }
   }
 
+  /** A busy target's times tell more of its queue than of its speed. */
+  void onTargetTime(TargetTime time) {
+    if (!busy.contains(time.target())) {
+      speeds.onAnswers(time.target(), time.meanRelativeTime(), time.answers());
+    }
+  }
+
   void plan(TargetRegister register, long nowMs) {
     List<FleetTarget> ready = new ArrayList<>(register.of(service));
     ready.removeIf(target -> !target.isReady());
@@ -163,7 +179,13 @@
   }
 
   private void balance(List<FleetTarget> ready, long nowMs) {
-    for (RangeMove move : balancer.plan(targetLoads(ready, nowMs), loads, MOVES_AT_ONCE)) {
+    List<TargetLoad> targets = targetLoads(ready, nowMs);
+    noteBusyTargets(targets);
+    List<RangeMove> moves = hotKeys.plan(targets, loads, speeds).map(List::of).orElse(List.of());
+    if (moves.isEmpty()) {
+      moves = balancer.plan(targets, loads, MOVES_AT_ONCE);
+    }
+    for (RangeMove move : moves) {
       desk.move(move.keys(), move.to(), nowMs);
       log.write(
           "keys_moved",
@@ -176,6 +198,16 @@
     }
   }
 
+  private void noteBusyTargets(List<TargetLoad> targets) {
+    busy.clear();
+    for (TargetLoad target : targets) {
+      double load = target.ranges().stream().mapToDouble(loads::of).sum();
+      if (load > BUSY_SHARE * target.slots()) {
+        busy.add(target.id());
+      }
+    }
+  }
+
   private List<TargetLoad> targetLoads(List<FleetTarget> ready, long nowMs) {
     Map<TargetId, List<KeyRange>> settled = desk.settledRanges(nowMs);
     Set<TargetId> moving = new HashSet<>(desk.targetsOnTheMove());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -5,6 +5,8 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.protocol.TargetTime;
+import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.kernel.MillisClock;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -34,11 +36,11 @@
   /** Requests that all gateways together may have at a target, for each of its slots. */
   private static final int REQUESTS_PER_SLOT = 4;
 
-  /** How much worse a target in another data centre has to be considered; covers its bytes. */
-  private static final double REMOTE_COST = 1.1;
+  /** A target in another data centre counts as this many times slower; pays for the bytes. */
+  private static final double REMOTE_COST = 1.6;
 
   /** Costs differ by up to this share at random, so that gateways do not all choose the same. */
-  private static final double SPREAD = 0.3;
+  private static final double SPREAD = 0.2;
 
   /** Weight of the newest answer in the mean time of a route. */
   private static final double NEWEST = 0.05;
@@ -83,13 +85,18 @@
   /** Gives a slot back and learns from how the attempt went. */
   void giveBack(Slot slot, PlacementWish wish, AttemptEnd end, long tookMs) {
     synchronized (this) {
-      TargetSlots slots = slotsOf(slot.target().id());
+      TargetSlots slots = slotsOf(slot.target(), state.current());
       slots.giveBack();
       learn(slots, wish.route().name(), end, tookMs);
     }
     serveWaiting(slot.target().service());
   }
 
+  /** Returns how long requests of a route take, over all targets; milliseconds. */
+  synchronized long meanTimeMs(String route) {
+    return meanTimeByRouteMs.getOrDefault(route, 0.0).longValue();
+  }
+
   private void learn(TargetSlots slots, String route, AttemptEnd end, long tookMs) {
     switch (end) {
       case ANSWERED -> {
@@ -148,7 +155,7 @@
         wish.key().isPresent() ? ownerOf(wish, snapshot) : bestOf(wish, snapshot);
     return target.map(
         found -> {
-          slotsOf(found.id()).take();
+          slotsOf(found, snapshot).take();
           return new Slot(found);
         });
   }
@@ -173,7 +180,7 @@
       if (skipped.contains(target.id()) || !hasRoom(target, snapshot)) {
         continue;
       }
-      double cost = slotsOf(target.id()).cost(target.slots());
+      double cost = slotsOf(target, snapshot).cost(target.slots());
       cost *= target.dataCentre().equals(dataCentre) ? 1 : REMOTE_COST;
       cost *= 1 + SPREAD * random.nextDouble();
       if (cost < bestCost) {
@@ -190,7 +197,7 @@
     Set<TargetId> skipped = new HashSet<>(wish.tried());
     boolean othersLeft = false;
     for (FleetTarget target : snapshot.ready(wish.service())) {
-      if (slotsOf(target.id()).isPaused(nowMs)) {
+      if (slotsOf(target, snapshot).isPaused(nowMs)) {
         skipped.add(target.id());
       }
       othersLeft |= !skipped.contains(target.id());
@@ -199,13 +206,26 @@
   }
 
   private boolean hasRoom(FleetTarget target, RoutingSnapshot snapshot) {
-    int forAll = target.slots() * REQUESTS_PER_SLOT;
-    int ours = Math.max(1, forAll / Math.max(1, snapshot.processes()));
-    return slotsOf(target.id()).inUse() < ours;
+    return slotsOf(target, snapshot).hasRoom();
   }
 
-  private TargetSlots slotsOf(TargetId id) {
-    return slotsByTarget.computeIfAbsent(id, unknown -> new TargetSlots());
+  private TargetSlots slotsOf(FleetTarget target, RoutingSnapshot snapshot) {
+    TargetSlots known = slotsByTarget.get(target.id());
+    if (known != null) {
+      return known;
+    }
+    double forAll = (double) target.slots() * REQUESTS_PER_SLOT;
+    double evenPart = Math.max(1, Math.rint(forAll / snapshot.processes()));
+    TargetSlots created = new TargetSlots(evenPart, target.slots());
+    slotsByTarget.put(target.id(), created);
+    return created;
+  }
+
+  /** Returns how long targets took since the last call. */
+  synchronized TargetTimesReport takeTimes() {
+    List<TargetTime> times = new ArrayList<>();
+    slotsByTarget.forEach((id, slots) -> slots.takeTime(id).ifPresent(times::add));
+    return new TargetTimesReport(times);
   }
 
   /** Returns how many requests wait. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -17,7 +17,10 @@
 final class GatewayExchange implements TargetAttempt.Listener {
 
   /** How long a request may wait for a slot, as a part of the time within which it is due. */
-  private static final double WAIT_SHARE = 0.22;
+  private static final double WAIT_SHARE = 0.25;
+
+  /** Taken off that time: the way to the caller and back, and timers that fire late. */
+  private static final long WAIT_RESERVE_MS = 30;
 
   /** When a caller whose request did not run should come back; milliseconds. */
   private static final long RETRY_AFTER_MS = 250;
@@ -58,7 +61,7 @@
 
   private long patienceMs() {
     Route route = call.route();
-    long limitMs = call.arrivedMs() + (long) (route.targetLatencyMs() * WAIT_SHARE);
+    long limitMs = call.arrivedMs() + (long) (route.targetLatencyMs() * WAIT_SHARE) - WAIT_RESERVE_MS;
     return Math.max(SAME_OWNER_PAUSE_MS, limitMs - services.clock().nowMs());
   }
 
@@ -83,10 +86,19 @@
 
   private void onOutOfPatience() {
     if (services.dispatcher().withdraw(wish)) {
+      countUnservedWork();
       giveUp("no_slot");
     }
   }
 
+  /** Refused work has to count too, or the owner of a hot key looks less busy than it is. */
+  private void countUnservedWork() {
+    if (call.key().isPresent()) {
+      long meanMs = services.dispatcher().meanTimeMs(call.route().name());
+      services.keyWork().add(call.service(), call.key().getAsInt(), meanMs);
+    }
+  }
+
   /** Ends a request that no target is working on. */
   private void giveUp(String reason) {
     boolean ran;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -48,7 +48,7 @@
   private final ServerConnector readiness;
   private final TargetClient client;
   private final RequestTimers timers = new RequestTimers();
-  private final KeyWorkMeter keyWork = new KeyWorkMeter();
+  private final TrafficReports reports;
   private final GatewayHandler handler;
 
   /**
@@ -74,6 +74,7 @@
             new TargetClientLimits(
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
+    KeyWorkMeter keyWork = new KeyWorkMeter();
     Dispatcher dispatcher =
         new Dispatcher(state, new DataCentreId(settings.dataCentre()), clock, random.split());
     ExchangeServices services =
@@ -88,6 +89,7 @@
             settings.headers(),
             log,
             stopping);
+    this.reports = new TrafficReports(keyWork, dispatcher);
     this.handler = new GatewayHandler(services, random.split());
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName("caller");
@@ -146,12 +148,12 @@
   }
 
   /**
-   * Returns the meter of the work that keys cause.
+   * Returns what traffic measures.
    *
    * @return never null
    */
-  public KeyWorkMeter keyWork() {
-    return keyWork;
+  public TrafficReports reports() {
+    return reports;
   }
 
   /**
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -23,6 +23,7 @@
 import io.cuminvalve.core.protocol.LoadReport;
 import io.cuminvalve.core.protocol.NotHolder;
 import io.cuminvalve.core.protocol.PeerMessage;
+import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.PermitGranted;
 import io.cuminvalve.core.protocol.PermitQueued;
 import io.cuminvalve.core.protocol.PermitRefused;
@@ -93,7 +94,8 @@
           type(37, FleetBeat.class),
           type(38, TargetsPush.class),
           type(39, RoutesPush.class),
-          type(40, KeyLoadReport.class));
+          type(40, KeyLoadReport.class),
+          type(41, TargetTimesReport.class));
 
   private PeerMessageTypes() {}
 
