--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
@@ -28,8 +28,7 @@
    * @param speeds the speed of each target; not null
    * @return empty if every hot key is where it should be
    */
-  public Optional<RangeMove> plan(
-      List<TargetLoad> targets, KeyLoads loads, TargetSpeeds speeds) {
+  public Optional<RangeMove> plan(List<TargetLoad> targets, KeyLoads loads, TargetSpeeds speeds) {
     for (TargetLoad target : targets) {
       Optional<KeyRange> hot = hotKeyOf(target, loads);
       if (hot.isEmpty() || !target.movable()) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -89,9 +89,11 @@
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
     while (clock.nowMs() - startMs < settings.stopLimitMs()) {
-      boolean noticed = clock.nowMs() - startMs >= settings.stopNoticeMs();
-      if (noticed && server.inFlight() == 0) {
-        break;
+      if (clock.nowMs() - startMs >= settings.stopNoticeMs()) {
+        server.closeIdleConnections();
+        if (server.inFlight() == 0) {
+          break;
+        }
       }
       Thread.sleep(STOP_POLL_MS);
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -61,7 +61,8 @@
 
   private long patienceMs() {
     Route route = call.route();
-    long limitMs = call.arrivedMs() + (long) (route.targetLatencyMs() * WAIT_SHARE) - WAIT_RESERVE_MS;
+    long limitMs =
+        call.arrivedMs() + (long) (route.targetLatencyMs() * WAIT_SHARE) - WAIT_RESERVE_MS;
     return Math.max(SAME_OWNER_PAUSE_MS, limitMs - services.clock().nowMs());
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -7,10 +7,12 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -28,7 +30,7 @@
 
   private final ExchangeServices services;
   private final RandomGenerator random;
-  private final AtomicInteger inFlight = new AtomicInteger();
+  private final Set<EndPoint> busy = ConcurrentHashMap.newKeySet();
 
   GatewayHandler(ExchangeServices services, RandomGenerator random) {
     this.services = services;
@@ -37,7 +39,16 @@
 
   /** Returns how many requests have been read and not answered. */
   int inFlight() {
-    return inFlight.get();
+    return busy.size();
+  }
+
+  /** Tells whether a request of a connection has been read and not answered. */
+  boolean isBusy(EndPoint endPoint) {
+    return busy.contains(endPoint);
+  }
+
+  private static EndPoint endPointOf(Request request) {
+    return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
   @Override
@@ -58,7 +69,7 @@
       refuse(request, response, CallerAnswer.TOO_LARGE, "body_too_large", callback);
       return true;
     }
-    inFlight.incrementAndGet();
+    busy.add(endPointOf(request));
     if (hasBody(request)) {
       readBody(request, response, callback, configuration.get(), route.get(), arrivedMs);
     } else {
@@ -90,7 +101,7 @@
               if (failure == null) {
                 begin(request, response, callback, configuration, route, arrivedMs, body);
               } else {
-                inFlight.decrementAndGet();
+                busy.remove(endPointOf(request));
                 callback.failed(failure);
               }
             });
@@ -110,7 +121,7 @@
     if (configuration.isKeyed(service)) {
       key = keyOf(request);
       if (key.isEmpty()) {
-        inFlight.decrementAndGet();
+        busy.remove(endPointOf(request));
         refuse(request, response, CallerAnswer.BAD_REQUEST, "no_key", callback);
         return;
       }
@@ -128,7 +139,8 @@
             body,
             arrivedMs,
             arrivedMs + Math.min(route.timeoutMs(), callerTimeMs(request, route)));
-    new GatewayExchange(services, call, inFlight::decrementAndGet).start();
+    EndPoint endPoint = endPointOf(request);
+    new GatewayExchange(services, call, () -> busy.remove(endPoint)).start();
   }
 
   private OptionalInt keyOf(Request request) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -138,6 +139,21 @@
     timers.stop();
   }
 
+  /**
+   * Takes no new connections and closes those on which no request is in progress.
+   *
+   * <p>A caller that sends a request at that moment finds its connection closed and knows that
+   * nobody has read it.
+   */
+  public void closeIdleConnections() {
+    callers.close();
+    for (EndPoint endPoint : callers.getConnectedEndPoints()) {
+      if (!handler.isBusy(endPoint)) {
+        endPoint.close();
+      }
+    }
+  }
+
   /**
    * Returns how many requests have no answer yet.
    *
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -57,7 +57,7 @@
     QueuedThreadPool threads = new QueuedThreadPool(limits.maxThreads());
     threads.setName("target");
     threads.setDaemon(true);
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new ResetReportingConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
     HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -23,7 +23,6 @@
 import io.cuminvalve.core.protocol.LoadReport;
 import io.cuminvalve.core.protocol.NotHolder;
 import io.cuminvalve.core.protocol.PeerMessage;
-import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.PermitGranted;
 import io.cuminvalve.core.protocol.PermitQueued;
 import io.cuminvalve.core.protocol.PermitRefused;
@@ -41,6 +40,7 @@
 import io.cuminvalve.core.protocol.ShardsOpened;
 import io.cuminvalve.core.protocol.TablePush;
 import io.cuminvalve.core.protocol.TableRequest;
+import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsPush;
 import java.util.Map;
 
