--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
@@ -74,8 +74,10 @@
     if (to.isEmpty()) {
       return true;
     }
-    double gap = from.utilisation() - to.utilisation();
-    return from.utilisation() > mean * settings.triggerRatio() && gap > settings.triggerGap();
+    double busiest = from.utilisation();
+    return busiest > settings.triggerShare()
+        && busiest > mean * settings.triggerRatio()
+        && busiest - to.utilisation() > settings.triggerGap();
   }
 
   private static double wantedLoad(Share from, Share to) {
@@ -85,32 +87,42 @@
 
   private Optional<KeyRange> cut(List<KeyRange> ranges, double wanted, KeyLoads loads) {
     return ranges.stream()
-        .map(range -> narrowest(range, wanted, loads))
+        .map(range -> cheapest(range, wanted, loads))
         .flatMap(Optional::stream)
-        .min(Comparator.comparingInt(KeyRange::size));
+        .min(Comparator.comparingInt(Cut::cost))
+        .map(Cut::keys);
   }
 
   /** Slides a window over the range: it never holds more than is wanted, and as few keys as can. */
-  private Optional<KeyRange> narrowest(KeyRange range, double wanted, KeyLoads loads) {
+  private Optional<Cut> cheapest(KeyRange range, double wanted, KeyLoads loads) {
     double least = wanted * settings.minShare();
     double most = wanted * settings.maxShare();
-    KeyRange best = null;
+    Cut best = null;
     double sum = 0;
     int first = range.first();
     for (int last = range.first(); last <= range.last(); last++) {
       sum += loads.of(last);
-      while (first < last && (sum > most || sum - loads.of(first) >= least)) {
+      while (first < last && (sum > most || canDrop(range, first, sum, least, loads))) {
         sum -= loads.of(first);
         first++;
       }
       boolean fits = sum >= least && sum <= most && last - first < settings.maxKeys();
-      if (fits && (best == null || last - first + 1 < best.size())) {
-        best = new KeyRange(first, last);
+      Cut cut = fits ? Cut.of(new KeyRange(first, last), range) : null;
+      if (cut != null && (best == null || cut.cost() < best.cost())) {
+        best = cut;
       }
     }
     return Optional.ofNullable(best);
   }
 
+  /** A window that begins with the range keeps doing so while that leaves fewer pieces. */
+  private static boolean canDrop(
+      KeyRange range, int first, double sum, double least, KeyLoads loads) {
+    boolean enoughLeft = sum - loads.of(first) >= least;
+    boolean atStart = first == range.first();
+    return enoughLeft && !(atStart && sum < 2 * least);
+  }
+
   /** A target with its load, as it will be after the moves planned so far. */
   private static final class Share {
 
@@ -158,4 +170,22 @@
       }
     }
   }
+
+  /**
+   * Keys to move, and what that costs.
+   *
+   * @param keys the keys; not null
+   * @param cost the keys, and a charge for each piece that is left over: every piece is a lease
+   */
+  private record Cut(KeyRange keys, int cost) {
+
+    /** A piece is worth moving so many keys more. */
+    private static final int PIECE_COST = 400;
+
+    static Cut of(KeyRange keys, KeyRange range) {
+      int pieces = keys.first() > range.first() ? 1 : 0;
+      pieces += keys.last() < range.last() ? 1 : 0;
+      return new Cut(keys, keys.size() + pieces * PIECE_COST);
+    }
+  }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -97,6 +97,11 @@
     heldUntilMs = Math.max(heldUntilMs, untilMs);
   }
 
+  /** The owner probably has its lease from the holder before: requests may go there. */
+  void assumeGranted() {
+    granted = true;
+  }
+
   void assumePreviousOwner(TargetId id, long heldUntil) {
     previousOwners.put(id, new PreviousOwner(heldUntil, 0));
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -63,6 +63,8 @@
       for (TargetId id : assignment.previousOwners()) {
         held.assumePreviousOwner(id, foreignUntilMs);
       }
+      // Most leases outlive a change of the holder; a wrong guess costs a refused attempt.
+      held.assumeGranted();
       ranges.add(held);
     }
     routesChanged = true;
@@ -142,6 +144,15 @@
     ranges = cut;
   }
 
+  /**
+   * Returns how many ranges there are; each is a lease to renew.
+   *
+   * @return at least 0
+   */
+  public int rangeCount() {
+    return ranges.size();
+  }
+
   /**
    * Finds the ranges whose owner must not have them any longer.
    *
@@ -171,38 +182,38 @@
    * Returns the orders to send now.
    *
    * @param nowMs the time; milliseconds
+   * @param mayAsk tells whether a target may get one more order now; asked before each; not null
    * @return never null; each counts as sent
    */
-  public List<LeaseOrder> due(long nowMs) {
+  public List<LeaseOrder> due(long nowMs, Predicate<TargetId> mayAsk) {
     List<LeaseOrder> orders = new ArrayList<>();
     for (HeldRange held : ranges) {
       if (held.neededVersion() > writtenVersion) {
         continue;
       }
       cleanupPending |= held.dropFreeOwners(nowMs);
-      addReleases(held, nowMs, orders);
-      addGrant(held, nowMs, orders);
+      addReleases(held, nowMs, mayAsk, orders);
+      if (held.isGrantDue(nowMs) && mayAsk.test(held.owner())) {
+        orders.add(grant(held, nowMs));
+      }
     }
     return orders;
   }
 
-  private void addReleases(HeldRange held, long nowMs, List<LeaseOrder> orders) {
+  private void addReleases(
+      HeldRange held, long nowMs, Predicate<TargetId> mayAsk, List<LeaseOrder> orders) {
     for (Map.Entry<TargetId, PreviousOwner> entry : held.previousOwners().entrySet()) {
-      if (entry.getValue().isReleaseDue(nowMs)) {
+      if (entry.getValue().isReleaseDue(nowMs) && mayAsk.test(entry.getKey())) {
         entry.getValue().onReleaseSent();
         orders.add(new LeaseOrder.Release(service, entry.getKey(), held.range(), held.token()));
       }
     }
   }
 
-  private void addGrant(HeldRange held, long nowMs, List<LeaseOrder> orders) {
-    if (!held.isGrantDue(nowMs)) {
-      return;
-    }
+  private LeaseOrder.Grant grant(HeldRange held, long nowMs) {
     held.onGrantSent(nowMs + timings.longestLeaseMs());
-    orders.add(
-        new LeaseOrder.Grant(
-            service, held.owner(), held.range(), held.token(), timings.leaseMs(), held.handover()));
+    return new LeaseOrder.Grant(
+        service, held.owner(), held.range(), held.token(), timings.leaseMs(), held.handover());
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -75,7 +75,6 @@
   private final Map<TargetId, String> lastAddresses = new HashMap<>();
   private Map<ServiceId, OwnershipTable> stored = Map.of();
   private boolean ready;
-  private boolean fresh;
   private long tokenCount;
   private long routesVersion;
   private long cleanupSinceMs;
@@ -162,14 +161,6 @@
         .ifPresent(service -> service.onTargetTime(time));
   }
 
-  /** Says everything once more, to gateways that lack something. */
-  void tellAll() {
-    audience.onTargets(term, follower.register().version(), follower.register().all());
-    if (fresh) {
-      tellRoutes();
-    }
-  }
-
   private void onOwnership(Optional<OwnershipRecord> found) {
     Map<ServiceId, OwnershipTable> tables = new HashMap<>();
     found.ifPresent(record -> record.tables().forEach(t -> tables.put(t.service(), t)));
@@ -226,7 +217,7 @@
     renewStaleTokens(nowMs);
     writeIfNeeded(nowMs);
     for (ServiceDuties service : duties.values()) {
-      for (LeaseOrder order : service.desk().due(nowMs)) {
+      for (LeaseOrder order : service.desk().due(nowMs, sender::mayAsk)) {
         sender.send(service.desk(), order);
       }
     }
@@ -248,6 +239,7 @@
     OwnershipTable table = stored.get(id);
     if (table != null && !table.assignments().isEmpty()) {
       desk.takeOver(table, startedMs + timings.foreignLeaseMs());
+      log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
     return new ServiceDuties(id, desk, log, clock.nowMs());
   }
@@ -296,7 +288,6 @@
   }
 
   private void onWritten(Map<ServiceId, Long> versions) {
-    fresh = true;
     versions.forEach((id, version) -> duties.get(id).desk().onWritten(version));
     act();
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -9,6 +9,8 @@
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.ports.lease.LeaseControl;
 import io.cuminvalve.ports.lease.OrderReply;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -16,12 +18,20 @@
 /** Sends the orders of a desk to the targets and brings the answers back. */
 final class OrderSender {
 
+  /** One that does not answer must not hold up the others. */
+  private static final int MAX_PER_TARGET = 6;
+
+  /** A new holder has to grant everything at once, on a processor that is not warm yet. */
+  private static final int MAX_IN_FLIGHT = 60;
+
   private final LeaseControl leases;
   private final ControlThread control;
   private final MillisClock clock;
   private final DecisionLog log;
   private final Function<TargetId, Optional<String>> addresses;
   private final Runnable onAnswered;
+  private final Map<TargetId, Integer> inFlight = new HashMap<>();
+  private int totalInFlight;
   private boolean closed;
 
   OrderSender(
@@ -43,6 +53,17 @@
     closed = true;
   }
 
+  /** Takes a place for one more order, unless a target has enough to do, or all have. */
+  boolean mayAsk(TargetId target) {
+    int toTarget = inFlight.getOrDefault(target, 0);
+    if (toTarget >= MAX_PER_TARGET || totalInFlight >= MAX_IN_FLIGHT) {
+      return false;
+    }
+    inFlight.put(target, toTarget + 1);
+    totalInFlight++;
+    return true;
+  }
+
   void send(LeaseDesk desk, LeaseOrder order) {
     long sentMs = clock.nowMs();
     Optional<String> address = addresses.apply(order.target());
@@ -67,6 +88,8 @@
     if (closed) {
       return;
     }
+    inFlight.merge(order.target(), -1, Integer::sum);
+    totalInFlight--;
     long nowMs = clock.nowMs();
     if (order instanceof LeaseOrder.Grant grant) {
       if (reply.outcome() != OrderOutcome.DONE) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.balance.KeyLoads;
 import io.cuminvalve.core.balance.RangeBalancer;
 import io.cuminvalve.core.balance.RangeMove;
+import io.cuminvalve.core.balance.RangeTidier;
 import io.cuminvalve.core.balance.TargetLoad;
 import io.cuminvalve.core.balance.TargetSpeeds;
 import io.cuminvalve.core.fleet.FleetTarget;
@@ -41,11 +42,14 @@
   /** Pause between two looks at the load. */
   private static final long BALANCE_MS = 250;
 
+  /** Pause between two looks for fragments, and so the least time that one is left alone. */
+  private static final long TIDY_MS = 500;
+
   /** Moves at the same time: each closes its keys for the rest of the work under way. */
   private static final int MOVES_AT_ONCE = 10;
 
   /** A measurement counts for about this long: hot keys come and go within seconds. */
-  private static final double LOAD_MEMORY_MS = 1_500;
+  private static final double LOAD_MEMORY_MS = 2_000;
 
   /** Share of busy slots from which on requests often wait in a target's queue. */
   private static final double BUSY_SHARE = 0.7;
@@ -53,6 +57,11 @@
   /** Into how many parts the keys of a target that leaves are cut at most. */
   private static final int SPREAD = 4;
 
+  /** Narrower ranges with less load are given away whole: each part is a lease. */
+  private static final int WIDE_KEYS = 1_024;
+
+  private static final double HEAVY_LOAD = 0.4;
+
   private final ServiceId service;
   private final LeaseDesk desk;
   private final DecisionLog log;
@@ -60,11 +69,13 @@
   private final TargetSpeeds speeds = new TargetSpeeds();
   private final Set<TargetId> busy = new HashSet<>();
   private final HotKeyPlacement hotKeys = new HotKeyPlacement();
+  private final RangeTidier tidier = new RangeTidier();
   private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
   private final long startedMs;
   private int lastTargetCount;
   private long targetsChangedMs;
   private long balancedMs;
+  private long tidiedMs;
 
   ServiceDuties(ServiceId service, LeaseDesk desk, DecisionLog log, long nowMs) {
     this.service = service;
@@ -74,6 +85,7 @@
     this.startedMs = nowMs;
     this.targetsChangedMs = nowMs;
     this.balancedMs = nowMs;
+    this.tidiedMs = nowMs;
   }
 
   LeaseDesk desk() {
@@ -161,7 +173,8 @@
   }
 
   private List<KeyRange> parts(KeyRange range, int targets) {
-    int count = Math.min(Math.min(SPREAD, targets), range.size());
+    boolean wide = range.size() >= WIDE_KEYS || loads.of(range) > HEAVY_LOAD;
+    int count = wide ? Math.min(Math.min(SPREAD, targets), range.size()) : 1;
     double share = loads.of(range) / count;
     List<KeyRange> parts = new ArrayList<>();
     int first = range.first();
@@ -185,6 +198,10 @@
     if (moves.isEmpty()) {
       moves = balancer.plan(targets, loads, MOVES_AT_ONCE);
     }
+    if (moves.isEmpty() && nowMs - tidiedMs >= TIDY_MS) {
+      tidiedMs = nowMs;
+      moves = tidier.plan(targets, loads, MOVES_AT_ONCE);
+    }
     for (RangeMove move : moves) {
       desk.move(move.keys(), move.to(), nowMs);
       log.write(
