--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -46,7 +46,7 @@
     QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     threads.setName(name);
     threads.setDaemon(true);
-    ClientConnector connector = new ClientConnector();
+    ClientConnector connector = new PlainConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
     this.client = new HttpClient(new HttpClientTransportOverHTTP(connector));
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/ResetReportingConnector.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/ResetReportingConnector.java
@@ -1,11 +1,11 @@
 package io.cuminvalve.router.target;
 
+import io.cuminvalve.ports.http.PlainConnector;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -18,7 +18,7 @@
  * <p>The library reads a reset as the end of the stream. An answer without a length ends with its
  * connection, so one that was cut by a reset would pass for a whole one.
  */
-final class ResetReportingConnector extends ClientConnector {
+final class ResetReportingConnector extends PlainConnector {
 
   @Override
   protected EndPoint newEndPoint(
