--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
@@ -0,0 +1,128 @@
+package io.cuminvalve.core.balance;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.KeyRange;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class RangeBalancerTest {
+
+  private static final TargetId A = new TargetId("a");
+  private static final TargetId B = new TargetId("b");
+  private static final TargetId C = new TargetId("c");
+  private static final double MEMORY_MS = 1_000;
+
+  private final KeyLoads loads = new KeyLoads(MEMORY_MS, 0);
+  private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
+  private final TargetLoad a = target(A, new KeyRange(0, 9_999));
+  private final TargetLoad b = target(B, new KeyRange(10_000, 19_999));
+  private final TargetLoad c = target(C, new KeyRange(20_000, 65_535));
+
+  @Test
+  void evenLoadIsLeftAlone() {
+    busy(100, 2.0);
+    busy(10_100, 2.0);
+    busy(20_100, 2.0);
+    assertThat(balancer.plan(List.of(a, b, c), loads, 10)).isEmpty();
+  }
+
+  @Test
+  void aBusyTargetGivesToSeveralAtOnce() {
+    for (int key = 5_000; key < 5_040; key++) {
+      busy(key, 0.1);
+    }
+    List<RangeMove> moves = balancer.plan(List.of(a, b, c), loads, 10);
+    assertThat(moves.stream().map(RangeMove::to).toList()).containsAtLeast(B, C);
+    assertThat(moves.stream().allMatch(move -> move.from().equals(A))).isTrue();
+    double left = 4.0;
+    for (RangeMove move : moves) {
+      assertThat(a.ranges().get(0).contains(move.keys())).isTrue();
+      left -= loads.of(move.keys());
+    }
+    assertThat(left).isLessThan(2.5);
+  }
+
+  @Test
+  void movesOfOnePlanDoNotOverlap() {
+    for (int key = 0; key < 10_000; key += 50) {
+      busy(key, 0.04);
+    }
+    List<RangeMove> moves = balancer.plan(List.of(a, b, c), loads, 10);
+    assertThat(moves.size()).isAtLeast(2);
+    for (int i = 0; i < moves.size(); i++) {
+      for (int j = i + 1; j < moves.size(); j++) {
+        KeyRange one = moves.get(i).keys();
+        KeyRange other = moves.get(j).keys();
+        assertThat(one.last() < other.first() || other.last() < one.first()).isTrue();
+      }
+    }
+  }
+
+  @Test
+  void aTargetOnTheMoveIsLeftAlone() {
+    for (int key = 5_000; key < 5_040; key++) {
+      busy(key, 0.1);
+    }
+    TargetLoad moving = new TargetLoad(A, 4, a.ranges(), false);
+    assertThat(balancer.plan(List.of(moving, b, c), loads, 10)).isEmpty();
+  }
+
+  @Test
+  void aNewTargetGetsKeysWithoutAnyLoad() {
+    TargetLoad fresh = new TargetLoad(new TargetId("d"), 4, List.of(), true);
+    List<RangeMove> moves = balancer.plan(List.of(a, b, c, fresh), loads, 10);
+    assertThat(moves.stream().map(RangeMove::to).toList()).contains(fresh.id());
+  }
+
+  @Test
+  void aHotKeyGoesToAMuchFasterTarget() {
+    busy(77, 3.0);
+    TargetSpeeds speeds = new TargetSpeeds();
+    speeds.onAnswers(B, 0.4, 1_000);
+    Optional<RangeMove> move = new HotKeyPlacement().plan(List.of(a, b, c), loads, speeds);
+    assertThat(move).hasValue(new RangeMove(new KeyRange(77, 77), A, B));
+  }
+
+  @Test
+  void aHotKeyAtTheFastestTargetStays() {
+    busy(77, 3.0);
+    TargetSpeeds speeds = new TargetSpeeds();
+    speeds.onAnswers(A, 0.4, 1_000);
+    assertThat(new HotKeyPlacement().plan(List.of(a, b, c), loads, speeds)).isEmpty();
+  }
+
+  @Test
+  void coldFragmentsGoBackToTheirNeighbours() {
+    TargetLoad left = target(A, new KeyRange(0, 499), new KeyRange(600, 30_000));
+    TargetLoad right = target(B, new KeyRange(500, 599), new KeyRange(30_001, 65_535));
+    List<RangeMove> moves = new RangeTidier().plan(List.of(left, right), loads, 10);
+    assertThat(moves).containsExactly(new RangeMove(new KeyRange(0, 499), A, B));
+  }
+
+  @Test
+  void aHotFragmentStays() {
+    busy(550, 1.0);
+    TargetLoad left = target(A, new KeyRange(0, 5_000), new KeyRange(5_100, 30_000));
+    TargetLoad right = target(B, new KeyRange(5_001, 5_099), new KeyRange(30_001, 65_535));
+    busy(5_050, 1.0);
+    assertThat(new RangeTidier().plan(List.of(left, right), loads, 10)).isEmpty();
+  }
+
+  @Test
+  void oldLoadFades() {
+    busy(1, 2.0);
+    loads.decay(5_000);
+    assertThat(loads.of(1)).isLessThan(0.1);
+  }
+
+  private void busy(int key, double slots) {
+    loads.add(key, slots * MEMORY_MS);
+  }
+
+  private static TargetLoad target(TargetId id, KeyRange... ranges) {
+    return new TargetLoad(id, 4, List.of(ranges), true);
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
@@ -0,0 +1,47 @@
+package io.cuminvalve.core.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class TargetRegisterTest {
+
+  private final TargetRegister register = new TargetRegister();
+
+  @Test
+  void aSignOfLifeChangesNothing() {
+    assertThat(register.put(target("a", TargetPhase.READY, 3_000))).isTrue();
+    assertThat(register.put(target("a", TargetPhase.READY, 1_000))).isFalse();
+    assertThat(register.version()).isEqualTo(1);
+  }
+
+  @Test
+  void drainingChangesRouting() {
+    register.put(target("a", TargetPhase.READY, 0));
+    assertThat(register.put(target("a", TargetPhase.DRAINING, 0))).isTrue();
+  }
+
+  @Test
+  void missingEntriesAreKeptWhileTheyMayComeBack() {
+    register.put(target("a", TargetPhase.READY, 0));
+    assertThat(register.replaceAll(List.of(), true)).isFalse();
+    assertThat(register.all()).hasSize(1);
+    assertThat(register.replaceAll(List.of(), false)).isTrue();
+    assertThat(register.all()).isEmpty();
+  }
+
+  private static FleetTarget target(String id, TargetPhase phase, long coldMs) {
+    return new FleetTarget(
+        new TargetId(id),
+        new ServiceId("core"),
+        "10.0.0.1:80",
+        new DataCentreId("zone"),
+        4,
+        phase,
+        coldMs);
+  }
+}
--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -0,0 +1,139 @@
+package io.cuminvalve.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LeaseDeskTest {
+
+  private static final ServiceId SERVICE = new ServiceId("core");
+  private static final TargetId A = new TargetId("a");
+  private static final TargetId B = new TargetId("b");
+  private static final LeaseTimings TIMINGS = new LeaseTimings(4_000, 1_000, 200, 0.02, 150, 9_500);
+  private static final KeyRange FIRST_KEYS = new KeyRange(0, 99);
+
+  private long tokens;
+  private final LeaseDesk desk = new LeaseDesk(SERVICE, TIMINGS, () -> ++tokens);
+
+  @BeforeEach
+  void partition() {
+    desk.partition(List.of(target(A), target(B)));
+    desk.onWritten(desk.version());
+    due(0).forEach(order -> grantEnds(order, OrderOutcome.DONE, 0));
+  }
+
+  @Test
+  void nothingIsOrderedBeforeItIsDurable() {
+    desk.move(FIRST_KEYS, B, 100);
+    assertThat(due(100)).isEmpty();
+    desk.onWritten(desk.version());
+    assertThat(due(100)).hasSize(1);
+  }
+
+  @Test
+  void theNextOwnerIsGrantedAfterTheReleaseIsAnswered() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    assertThat(release.target()).isEqualTo(A);
+    assertThat(desk.routes().get(0).open()).isFalse();
+    desk.onReleaseEnded(release, OrderOutcome.DONE, Optional.of("handover"), 150);
+    LeaseOrder.Grant grant = (LeaseOrder.Grant) due(150).get(0);
+    assertThat(grant.target()).isEqualTo(B);
+    assertThat(grant.token()).isEqualTo(release.token());
+    assertThat(grant.handover()).hasValue("handover");
+    grantEnds(grant, OrderOutcome.DONE, 150);
+    assertThat(desk.routes().get(0).owner()).isEqualTo(B);
+    assertThat(desk.routes().get(0).open()).isTrue();
+  }
+
+  @Test
+  void withoutAnAnswerTheLeaseHasToRunOut() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    desk.onReleaseEnded(release, OrderOutcome.NOT_SENT, Optional.empty(), 150);
+    long endsMs = TIMINGS.longestLeaseMs();
+    assertThat(grantsTo(B, due(endsMs - 1))).isEmpty();
+    assertThat(grantsTo(B, due(endsMs))).hasSize(1);
+  }
+
+  @Test
+  void aGrantThatMayStillBeCarriedOutIsWaitedFor() {
+    LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(A, due(1_000)).get(0);
+    desk.onGrantEnded(renewal, OrderOutcome.UNANSWERED, 1_000, 1_100);
+    LeaseOrder.Release release = moveFirstKeysToB();
+    desk.onReleaseEnded(release, OrderOutcome.DONE, Optional.empty(), 1_200);
+    long endsMs = 1_000 + TIMINGS.longestLeaseMs();
+    assertThat(grantsTo(B, due(endsMs - 1))).isEmpty();
+    assertThat(grantsTo(B, due(endsMs))).hasSize(1);
+  }
+
+  @Test
+  void anotherRunInItsPlaceEndsEveryLease() {
+    desk.move(KeyRange.ALL, B, 100);
+    desk.onWritten(desk.version());
+    desk.onGone(A);
+    assertThat(grantsTo(B, due(100))).isNotEmpty();
+  }
+
+  @Test
+  void aStaleTokenStopsRenewalsUntilTheTermIsConfirmed() {
+    LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(A, due(1_000)).get(0);
+    desk.onGrantEnded(renewal, OrderOutcome.STALE, 1_000, 1_010);
+    assertThat(desk.hasStaleTokens()).isTrue();
+    assertThat(grantsTo(A, due(5_000))).isEmpty();
+    desk.renewTokens();
+    LeaseOrder.Grant next = (LeaseOrder.Grant) grantsTo(A, due(5_000)).get(0);
+    assertThat(next.token()).isGreaterThan(renewal.token());
+  }
+
+  @Test
+  void takingOverGrantsToTheSameOwnersUnderHigherTokens() {
+    LeaseDesk next = new LeaseDesk(SERVICE, TIMINGS, () -> 1_000 + ++tokens);
+    next.takeOver(desk.table(), 20_000);
+    assertThat(next.due(0, target -> true)).isEmpty();
+    next.onWritten(next.version());
+    List<LeaseOrder> orders = next.due(0, target -> true);
+    assertThat(orders).hasSize(2);
+    assertThat(orders.get(0).target()).isEqualTo(A);
+    assertThat(orders.get(0).token()).isGreaterThan(1_000);
+  }
+
+  @Test
+  void aTargetWithEnoughToDoIsAskedLater() {
+    assertThat(desk.due(1_000, target -> target.equals(B))).hasSize(1);
+    assertThat(grantsTo(A, due(1_000))).hasSize(1);
+  }
+
+  private LeaseOrder.Release moveFirstKeysToB() {
+    desk.move(FIRST_KEYS, B, 100);
+    desk.onWritten(desk.version());
+    return (LeaseOrder.Release)
+        due(100).stream().filter(LeaseOrder.Release.class::isInstance).findFirst().orElseThrow();
+  }
+
+  private List<LeaseOrder> due(long nowMs) {
+    return desk.due(nowMs, target -> true);
+  }
+
+  private void grantEnds(LeaseOrder order, OrderOutcome outcome, long nowMs) {
+    desk.onGrantEnded((LeaseOrder.Grant) order, outcome, nowMs, nowMs);
+  }
+
+  private static List<LeaseOrder> grantsTo(TargetId target, List<LeaseOrder> orders) {
+    return orders.stream()
+        .filter(order -> order instanceof LeaseOrder.Grant && order.target().equals(target))
+        .filter(order -> order.range().first() == FIRST_KEYS.first())
+        .toList();
+  }
+
+  private static FleetTarget target(TargetId id) {
+    return new FleetTarget(
+        id, SERVICE, id + ":1", new DataCentreId("zone"), 4, TargetPhase.READY, 0);
+  }
+}
