--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
@@ -58,6 +58,9 @@
         break;
       }
       Optional<KeyRange> keys = cut(from.ranges, wantedLoad(from, to), loads);
+      if (keys.isEmpty() && to.isEmpty()) {
+        keys = startOfWidest(from.ranges);
+      }
       if (keys.isEmpty()) {
         shares.remove(from);
         continue;
@@ -93,6 +96,18 @@
         .map(Cut::keys);
   }
 
+  /** For a target that owns nothing: it has to be of some use, also while nobody is busy. */
+  private Optional<KeyRange> startOfWidest(List<KeyRange> ranges) {
+    return ranges.stream()
+        .max(Comparator.comparingInt(KeyRange::size))
+        .filter(range -> range.size() > 1)
+        .map(
+            range -> {
+              int size = Math.min(settings.maxKeys(), range.size() / 2);
+              return new KeyRange(range.first(), range.first() + size - 1);
+            });
+  }
+
   /** Slides a window over the range: it never holds more than is wanted, and as few keys as can. */
   private Optional<Cut> cheapest(KeyRange range, double wanted, KeyLoads loads) {
     double least = wanted * settings.minShare();
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
@@ -77,6 +77,13 @@
     assertThat(moves.stream().map(RangeMove::to).toList()).contains(fresh.id());
   }
 
+  @Test
+  void aNewTargetGetsKeysFromTheOnlyOtherOne() {
+    TargetLoad only = target(A, KeyRange.ALL);
+    TargetLoad fresh = new TargetLoad(B, 4, List.of(), true);
+    assertThat(balancer.plan(List.of(only, fresh), loads, 10)).hasSize(1);
+  }
+
   @Test
   void aHotKeyGoesToAMuchFasterTarget() {
     busy(77, 3.0);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -98,6 +98,11 @@
       Thread.sleep(STOP_POLL_MS);
     }
     log.write("stopped", "in_flight={} after_ms={}", server.inFlight(), clock.nowMs() - startMs);
+    close();
+  }
+
+  /** Closes everything at once, whatever is in progress. */
+  public void close() {
     server.stop();
     fleet.close();
     control.close();
