Ride out outages of the store: longer leases, news from peers, no resignation

Restarted gateways knew no configuration. Ruled out: targets that leave (they cannot say so while the store is down). Change: a holder that the store does not answer grants for hold_max and keeps the term until the store answers or it ends; a gateway that starts without the store asks the seeds. The store lease of the term lives 1.5 s in place of 2 s.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -122,6 +122,10 @@
     granted = false;
   }
 
+  void renewSoon() {
+    nextGrantMs = 0;
+  }
+
   /** Goes on with the same owner under a higher token. */
   void restartWith(long newToken) {
     token = newToken;
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -33,6 +33,7 @@
   private long writtenVersion;
   private boolean cleanupPending;
   private boolean routesChanged;
+  private boolean outage;
 
   /**
    * Creates a desk without any assignment.
@@ -178,6 +179,19 @@
     ranges.forEach(held -> held.onGone(id));
   }
 
+  /**
+   * Learns whether the store answers. If it does not, all leases are renewed at once and for
+   * longer.
+   *
+   * @param now true while the store does not answer
+   */
+  public void setOutage(boolean now) {
+    if (now && !outage) {
+      ranges.forEach(HeldRange::renewSoon);
+    }
+    outage = now;
+  }
+
   /**
    * Returns the orders to send now.
    *
@@ -211,9 +225,10 @@
   }
 
   private LeaseOrder.Grant grant(HeldRange held, long nowMs) {
-    held.onGrantSent(nowMs + timings.longestLeaseMs());
+    long leaseMs = outage ? timings.outageLeaseMs() : timings.leaseMs();
+    held.onGrantSent(nowMs + timings.boundMs(leaseMs));
     return new LeaseOrder.Grant(
-        service, held.owner(), held.range(), held.token(), timings.leaseMs(), held.handover());
+        service, held.owner(), held.range(), held.token(), leaseMs, held.handover());
   }
 
   /**
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseTimings.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseTimings.java
@@ -4,6 +4,8 @@
  * The times of leases at targets. All in milliseconds.
  *
  * @param leaseMs how long a lease runs from its arrival at the target
+ * @param outageLeaseMs how long it runs if it was granted while the store did not answer: nobody
+ *     may be able to renew it for as long as that lasts
  * @param renewMs pause between two renewals
  * @param retryMs pause before an order that got no answer is sent again
  * @param clockDrift by how much a target's clock may run slow, as a share
@@ -13,6 +15,7 @@
  */
 public record LeaseTimings(
     long leaseMs,
+    long outageLeaseMs,
     long renewMs,
     long retryMs,
     double clockDrift,
@@ -24,10 +27,11 @@
    *
    * <p>The time on the way is not included: bytes that are held up are lost with their connection.
    *
+   * @param grantedMs for how long it was granted; milliseconds
    * @return milliseconds
    */
-  public long longestLeaseMs() {
-    return (long) Math.ceil(leaseMs * (1 + clockDrift)) + marginMs;
+  public long boundMs(long grantedMs) {
+    return (long) Math.ceil(grantedMs * (1 + clockDrift)) + marginMs;
   }
 
   /**
@@ -36,6 +40,6 @@
    * @return milliseconds
    */
   public long foreignLeaseMs() {
-    return holderGraceMs + longestLeaseMs();
+    return holderGraceMs + boundMs(outageLeaseMs);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.lease.LeaseTimings;
 import java.net.InetSocketAddress;
+import java.util.List;
 
 /**
  * What a gateway has to know at its start.
@@ -22,6 +23,8 @@
  * @param stopNoticeMs how long it goes on serving after it has been told to stop, so that callers
  *     are led elsewhere; milliseconds
  * @param stopLimitMs by when it has ended after it has been told to stop; milliseconds
+ * @param seedPeers peer addresses of some gateways, which may be down; asked for what they know
+ *     while the store does not answer; not null
  * @since 0.2
  */
 public record GatewaySettings(
@@ -39,4 +42,11 @@
     double repeatsPerFleet,
     long repeatWindowMs,
     long stopNoticeMs,
-    long stopLimitMs) {}
+    long stopLimitMs,
+    List<String> seedPeers) {
+
+  /** Copies the list. */
+  public GatewaySettings {
+    seedPeers = List.copyOf(seedPeers);
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -8,6 +8,7 @@
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.ports.store.WatchResult;
+import java.util.Optional;
 
 /**
  * Keeps the newest configuration in force, and never an older one after it.
@@ -33,6 +34,7 @@
   private long revision;
   private boolean connected = true;
   private boolean closed;
+  private Optional<StoreValue> newest = Optional.empty();
 
   /**
    * Creates a watch that does nothing yet.
@@ -71,7 +73,13 @@
       connected = answered;
       log.write(answered ? "store_regained" : "store_lost", "by=configuration_watch");
     }
-    result.value().ifPresent(this::install);
+    result
+        .value()
+        .ifPresent(
+            value -> {
+              revision = Math.max(revision, value.revision());
+              install(value);
+            });
     if (result.event() == WatchResult.Event.CHANGED
         || result.event() == WatchResult.Event.UNCHANGED) {
       start();
@@ -80,8 +88,27 @@
     }
   }
 
+  /**
+   * Returns the configuration in force, as operators wrote it. For the control thread.
+   *
+   * @return empty if none is known
+   */
+  public Optional<StoreValue> newest() {
+    return newest;
+  }
+
+  /**
+   * Takes a configuration from another gateway. For the control thread.
+   *
+   * @param value what that gateway knows; not null
+   */
+  public void onNews(StoreValue value) {
+    if (newest.isEmpty()) {
+      install(value);
+    }
+  }
+
   private void install(StoreValue value) {
-    revision = Math.max(revision, value.revision());
     RoutingConfiguration next;
     try {
       next = ports.configurationDecoder().apply(value.value());
@@ -97,6 +124,7 @@
     if (next.version() <= known) {
       return;
     }
+    newest = Optional.of(value);
     state.update(snapshot -> snapshot.withConfiguration(next));
     log.write("configuration_in_force", "version={} revision={}", next.version(), value.revision());
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -88,7 +88,17 @@
             random.split());
     this.configuration = new ConfigurationWatch(ports, state, control, log);
     this.link =
-        new FleetLink(network, state, control, clock, log, ports, settings.process(), reports);
+        new FleetLink(
+            network,
+            state,
+            control,
+            clock,
+            log,
+            ports,
+            settings.process(),
+            settings.seedPeers(),
+            configuration,
+            reports);
     this.termLease =
         new TermLease(
             ports.store(),
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.protocol.FleetNews;
 import io.cuminvalve.core.protocol.KeyLoadReport;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.RoutesPush;
@@ -18,6 +19,7 @@
 import io.cuminvalve.gateway.traffic.TrafficReports;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetwork;
 import java.util.HashMap;
@@ -50,6 +52,9 @@
   /** What the holder knows of the targets is too old to rely on: two paces and some. */
   private static final long STALE_REGISTRY_MS = 1_800;
 
+  /** The store usually answers a process that starts within a few milliseconds. */
+  private static final long ASK_SEEDS_AFTER_MS = 500;
+
   /** After this long without a hello a gateway no longer counts. */
   private static final long GONE_MS = 2_000;
 
@@ -61,6 +66,9 @@
   private final GatewayPorts ports;
   private final String process;
   private final TrafficReports reports;
+  private final ConfigurationWatch configuration;
+  private final List<String> seedPeers;
+  private final long startedMs;
   private final Map<String, Subscriber> subscribers = new HashMap<>();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
@@ -81,6 +89,8 @@
       DecisionLog log,
       GatewayPorts ports,
       String process,
+      List<String> seedPeers,
+      ConfigurationWatch configuration,
       TrafficReports reports) {
     this.network = network;
     this.state = state;
@@ -90,6 +100,9 @@
     this.ports = ports;
     this.process = process;
     this.reports = reports;
+    this.configuration = configuration;
+    this.seedPeers = seedPeers;
+    this.startedMs = clock.nowMs();
     this.heardMs = clock.nowMs();
   }
 
@@ -122,6 +135,8 @@
   void onMessage(PeerChannel sender, PeerMessage message) {
     if (message instanceof FleetHello hello) {
       onHello(sender, hello);
+    } else if (message instanceof FleetNews news) {
+      onNews(news);
     } else if (message instanceof KeyLoadReport || message instanceof TargetTimesReport) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
@@ -139,12 +154,25 @@
       return;
     }
     sayHello();
+    askSeeds();
     boolean silent = clock.nowMs() - heardMs > SILENT_MS;
     if (silent && ownFollower.isEmpty()) {
       openOwnFollower();
     }
   }
 
+  /** While nothing is known, some gateways of the fleet are asked; the store may be silent. */
+  private void askSeeds() {
+    boolean lost = state.current().configuration().isEmpty() || holderAddress.isEmpty();
+    if (lost && clock.nowMs() - startedMs > ASK_SEEDS_AFTER_MS) {
+      seedPeers.forEach(address -> network.send(address, hello()));
+    }
+  }
+
+  private FleetHello hello() {
+    return new FleetHello(process, targetsTerm, targetsVersion, routesTerm, routesVersion);
+  }
+
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
   }
@@ -162,9 +190,7 @@
   }
 
   private void sayHello() {
-    FleetHello hello =
-        new FleetHello(process, targetsTerm, targetsVersion, routesTerm, routesVersion);
-    holderAddress.ifPresent(address -> network.send(address, hello));
+    holderAddress.ifPresent(address -> network.send(address, hello()));
   }
 
   private void openOwnFollower() {
@@ -211,6 +237,7 @@
     if (duties.isPresent() || push.term() < routesTerm) {
       return;
     }
+    lastTargets = push;
     targetsTerm = push.term();
     targetsVersion = push.version();
     if (clock.nowMs() - heardMs <= SILENT_MS) {
@@ -225,6 +252,7 @@
     if (duties.isPresent() || older) {
       return;
     }
+    lastRoutes = push;
     routesTerm = push.term();
     routesVersion = push.version();
     install(push.services());
@@ -238,7 +266,35 @@
     state.update(snapshot -> snapshot.withOwners(owners));
   }
 
+  /** A process that starts while the store is silent learns here what it needs. */
+  private void tellNews(PeerChannel sender) {
+    StoreValue known = configuration.newest().orElse(new StoreValue(new byte[0], 0));
+    sender.send(
+        new FleetNews(
+            known.revision(),
+            known.value(),
+            duties.isPresent() ? network.localAddress() : holderAddress.orElse(""),
+            lastTargets,
+            lastRoutes));
+  }
+
+  private void onNews(FleetNews news) {
+    if (news.configuration().length > 0) {
+      configuration.onNews(new StoreValue(news.configuration(), news.configurationRevision()));
+    }
+    if (duties.isEmpty() && holderAddress.isEmpty() && !news.holderAddress().isEmpty()) {
+      setHolder(news.holderAddress());
+    }
+    if (state.current().targets().isEmpty()) {
+      state.update(snapshot -> snapshot.withTargets(news.targets().targets()));
+    }
+    onRoutesPush(news.routes());
+  }
+
   private void onHello(PeerChannel sender, FleetHello hello) {
+    if (duties.isEmpty() || hello.targetsTerm() == 0) {
+      tellNews(sender);
+    }
     if (duties.isEmpty()) {
       return;
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -214,6 +214,8 @@
     for (ServiceDuties service : duties.values()) {
       service.plan(follower.register(), nowMs);
     }
+    boolean outage = termLease.isOutage();
+    duties.values().forEach(service -> service.desk().setOutage(outage));
     renewStaleTokens(nowMs);
     writeIfNeeded(nowMs);
     for (ServiceDuties service : duties.values()) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -53,9 +53,13 @@
   private static final String KEY = "cuminvalve/term";
 
   /** A vacant term is noticed after this time at the latest; above the store's least of 1 s. */
-  private static final long TTL_MS = 2_000;
+  private static final long TTL_MS = 1_500;
+
+  private static final long KEEP_MS = 350;
+
+  /** Two renewals have failed, or one was not answered. */
+  private static final long OUTAGE_MS = 1_000;
 
-  private static final long KEEP_MS = 500;
   private static final long WATCH_MS = 20_000;
   private static final long RETRY_MS = 200;
 
@@ -124,15 +128,25 @@
   /**
    * Gives the term up, if this process holds it, and never takes it again.
    *
-   * <p>The store's lease is ended, so that another process can take over at once.
+   * <p>The store's lease is ended, so that another process can take over at once. While the store
+   * does not answer nobody can: then the term is kept until it does, or until this process ends.
    */
   public void close() {
     closed = true;
-    if (holding) {
+    if (holding && !isOutage()) {
       lose("stopping");
     }
   }
 
+  /**
+   * Tells whether the store has not confirmed the term lately.
+   *
+   * @return false for a process that does not hold it
+   */
+  public boolean isOutage() {
+    return holding && clock.nowMs() - confirmedMs > OUTAGE_MS;
+  }
+
   /** Asks the store at once whether the term is still ours. */
   public void confirm() {
     if (holding) {
@@ -288,6 +302,9 @@
     }
     if (outcome == StoreOutcome.DONE) {
       confirmedMs = Math.max(confirmedMs, sentMs);
+      if (closed) {
+        lose("stopping");
+      }
     } else if (outcome == StoreOutcome.CONFLICT) {
       lose("lapsed");
       watch();
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.core.protocol.ConfigRequest;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
+import io.cuminvalve.core.protocol.FleetNews;
 import io.cuminvalve.core.protocol.Heartbeat;
 import io.cuminvalve.core.protocol.HeartbeatReply;
 import io.cuminvalve.core.protocol.HolderAlive;
@@ -95,7 +96,8 @@
           type(38, TargetsPush.class),
           type(39, RoutesPush.class),
           type(40, KeyLoadReport.class),
-          type(41, TargetTimesReport.class));
+          type(41, TargetTimesReport.class),
+          type(42, FleetNews.class));
 
   private PeerMessageTypes() {}
 
