--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -82,6 +82,24 @@
     return queue != null && queue.remove(wish);
   }
 
+  /** Says why a request that waits cannot be placed, for the log. */
+  synchronized String whyWaiting(PlacementWish wish) {
+    RoutingSnapshot snapshot = state.current();
+    if (wish.key().isEmpty()) {
+      return snapshot.ready(wish.service()).isEmpty() ? "no_target" : "targets_busy";
+    }
+    Optional<RangeRoute> range =
+        snapshot.owners(wish.service()).flatMap(owners -> owners.find(wish.key().getAsInt()));
+    if (range.isEmpty()) {
+      return "owner_unknown";
+    }
+    if (!range.get().open()) {
+      return "key_on_the_move";
+    }
+    boolean usable = snapshot.target(range.get().owner()).filter(FleetTarget::isReady).isPresent();
+    return usable ? "owner_busy" : "owner_leaving";
+  }
+
   /** Gives a slot back and learns from how the attempt went. */
   void giveBack(Slot slot, PlacementWish wish, AttemptEnd end, long tookMs) {
     synchronized (this) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -88,7 +88,7 @@
   private void onOutOfPatience() {
     if (services.dispatcher().withdraw(wish)) {
       countUnservedWork();
-      giveUp("no_slot");
+      giveUp(services.dispatcher().whyWaiting(wish));
     }
   }
 
