A holder that was replaced never writes again; a holder never takes over from an older record

A holder cut from the store looked up a write without an answer, found its successor's record, took that record's revision, and wrote its own table over it before it had learned that its term was over. The successor then took over from that stale table. Ruled out: late grants, a short lease: both tokens were of one term, the release never happened. Change: a later term in the record ends the writing; an earlier one counts only before the first write.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -294,14 +294,15 @@
     act();
   }
 
-  /** An earlier holder wrote after we had read: take over from what it wrote. */
+  /** Somebody else wrote: a later holder, or an earlier one after this one had read. */
   private void onOvertaken(Optional<OwnershipRecord> found) {
     long other = found.map(OwnershipRecord::term).orElse(0L);
     log.write("owners_overtaken", "term={} by_term={}", term, other);
-    if (other < term) {
-      onOwnership(found);
-    } else {
+    if (other > term) {
+      ready = false;
       termLease.confirm();
+    } else {
+      onOwnership(found);
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
@@ -36,6 +36,7 @@
   private final RecordCodec codec = new RecordCodec();
   private long revision = KeyValueStore.ABSENT;
   private boolean writing;
+  private boolean hasWritten;
   private boolean closed;
 
   OwnershipStore(KeyValueStore store, ControlThread control, DecisionLog log, long term) {
@@ -105,19 +106,36 @@
     }
     if (result.outcome() == StoreOutcome.DONE) {
       revision = result.revision();
+      hasWritten = true;
       writing = false;
       onDone.run();
     } else if (result.outcome() == StoreOutcome.UNAVAILABLE) {
       control.schedule(() -> writing = false, RETRY_MS);
     } else {
       log.write("owners_write_unclear", "outcome={}", result.outcome());
-      read(
-          found -> {
-            writing = false;
-            if (found.isPresent() && found.get().term() != term) {
-              onOvertaken.accept(found);
-            }
-          });
+      read(found -> onReadBack(found, onOvertaken));
+    }
+  }
+
+  /**
+   * Sorts out a write that was refused or not answered.
+   *
+   * <p>A record of a later term ends the writing for good: what was read must not serve to replace
+   * it. A record of an earlier term counts only before the first write of this term; afterwards the
+   * holder itself knows better, and writes again.
+   */
+  private void onReadBack(
+      Optional<OwnershipRecord> found, Consumer<Optional<OwnershipRecord>> onOvertaken) {
+    long writer = found.map(OwnershipRecord::term).orElse(0L);
+    if (writer > term) {
+      close();
+      onOvertaken.accept(found);
+      return;
+    }
+    writing = false;
+    hasWritten |= writer == term;
+    if (!hasWritten) {
+      onOvertaken.accept(found);
     }
   }
 }
