Learn from the holder before which leases are left; move hot keys while others wait

A new holder waited up to 19.7 s for targets that it could not reach, and no target that waited for such keys could give away its own hot ones. Change: a new holder asks its predecessor, which stops at once and tells every lease that may be in force; ranges under way count as load but no longer keep a target from giving. A caller whose target is busy is told to come back after 500 ms. LeaseDeskTest and the schedules cover what a predecessor tells.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
@@ -31,7 +31,7 @@
   public Optional<RangeMove> plan(List<TargetLoad> targets, KeyLoads loads, TargetSpeeds speeds) {
     for (TargetLoad target : targets) {
       Optional<KeyRange> hot = hotKeyOf(target, loads);
-      if (hot.isEmpty() || !target.movable()) {
+      if (hot.isEmpty()) {
         continue;
       }
       Optional<TargetId> better = fastest(targets, target, loads, speeds);
@@ -48,7 +48,7 @@
     double bestCost = speeds.of(owner.id()) / owner.slots() / WORTHWHILE;
     for (TargetLoad other : targets) {
       double cost = speeds.of(other.id()) / other.slots();
-      boolean free = other.movable() && hotKeyOf(other, loads).isEmpty();
+      boolean free = hotKeyOf(other, loads).isEmpty();
       if (free && cost < bestCost) {
         best = other.id();
         bestCost = cost;
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
@@ -41,12 +41,10 @@
     double busy = 0;
     double slots = 0;
     for (TargetLoad target : targets) {
-      double load = target.ranges().stream().mapToDouble(loads::of).sum();
+      double load = target.busySlots(loads);
       busy += load;
       slots += target.slots();
-      if (target.movable()) {
-        shares.add(new Share(target, load));
-      }
+      shares.add(new Share(target, load));
     }
     double mean = slots == 0 ? 0 : busy / slots;
     List<RangeMove> moves = new ArrayList<>();
@@ -152,6 +150,7 @@
       this.slots = target.slots();
       this.ranges = new ArrayList<>(target.ranges());
       this.load = load;
+      this.gains = !target.otherRanges().isEmpty();
     }
 
     double utilisation() {
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeTidier.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeTidier.java
@@ -56,7 +56,6 @@
       for (Owned neighbour : neighbours(owned, i)) {
         boolean fits =
             takesMore(byId.get(neighbour.owner()), loads)
-                && byId.get(fragment.owner()).movable()
                 && !used.contains(neighbour.owner())
                 && !used.contains(fragment.owner());
         if (fits) {
@@ -75,8 +74,7 @@
   }
 
   private static boolean takesMore(TargetLoad target, KeyLoads loads) {
-    double load = target.ranges().stream().mapToDouble(loads::of).sum();
-    return target.movable() && load / target.slots() < MAX_SHARE;
+    return target.busySlots(loads) / target.slots() < MAX_SHARE;
   }
 
   private static List<Owned> neighbours(List<Owned> owned, int index) {
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/TargetLoad.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/TargetLoad.java
@@ -10,7 +10,32 @@
  * @param id the target; not null
  * @param slots how many requests it works on at the same time
  * @param ranges what it owns and what may be moved; not null
- * @param movable whether nothing of it is on the move
+ * @param otherRanges what it owns or is about to own, but cannot be moved now; not null
  * @since 0.2
  */
-public record TargetLoad(TargetId id, int slots, List<KeyRange> ranges, boolean movable) {}
+public record TargetLoad(
+    TargetId id, int slots, List<KeyRange> ranges, List<KeyRange> otherRanges) {
+
+  /** Copies the lists. */
+  public TargetLoad {
+    ranges = List.copyOf(ranges);
+    otherRanges = List.copyOf(otherRanges);
+  }
+
+  /**
+   * Returns the load of all its ranges.
+   *
+   * @param loads the load of each key; not null
+   * @return busy slots
+   */
+  public double busySlots(KeyLoads loads) {
+    double busy = 0;
+    for (KeyRange range : ranges) {
+      busy += loads.of(range);
+    }
+    for (KeyRange range : otherRanges) {
+      busy += loads.of(range);
+    }
+    return busy;
+  }
+}
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.ToLongFunction;
 
 /** One range, as the holder of the term sees it. */
 final class HeldRange {
@@ -25,6 +26,9 @@
   /** Until when a lease of the owner may be in force, without the grant in flight. */
   private long heldUntilMs;
 
+  /** Until when a lease of the owner may be in force that an earlier holder granted. */
+  private long foreignUntilMs;
+
   /** The same for the grant in flight. */
   private long inFlightUntilMs;
 
@@ -47,6 +51,7 @@
     copy.grantInFlight = grantInFlight;
     copy.nextGrantMs = nextGrantMs;
     copy.heldUntilMs = heldUntilMs;
+    copy.foreignUntilMs = foreignUntilMs;
     copy.inFlightUntilMs = inFlightUntilMs;
     copy.unansweredUntilMs = unansweredUntilMs;
     return copy;
@@ -93,29 +98,46 @@
     return previousOwners.isEmpty() && !stale && !grantInFlight && nextGrantMs <= nowMs;
   }
 
-  void assumeHeldUntil(long untilMs) {
+  private void assumeHeldUntil(long untilMs) {
     heldUntilMs = Math.max(heldUntilMs, untilMs);
   }
 
+  void assumeForeignLease(long untilMs) {
+    foreignUntilMs = untilMs;
+  }
+
+  /** Returns until when the owner may hold the range, by whatever lease. */
+  long ownerUntilMs() {
+    long ours = grantInFlight ? Math.max(heldUntilMs, inFlightUntilMs) : heldUntilMs;
+    return Math.max(ours, foreignUntilMs);
+  }
+
+  /** An earlier holder told until when a target may hold these keys. */
+  void limitForeign(ToLongFunction<TargetId> untilMs) {
+    foreignUntilMs = Math.min(foreignUntilMs, untilMs.applyAsLong(owner));
+    previousOwners.forEach((id, previous) -> previous.limitForeign(untilMs.applyAsLong(id)));
+  }
+
   /** The owner probably has its lease from the holder before: requests may go there. */
   void assumeGranted() {
     granted = true;
   }
 
-  void assumePreviousOwner(TargetId id, long heldUntil) {
-    previousOwners.put(id, new PreviousOwner(heldUntil, 0));
+  void assumePreviousOwner(TargetId id, long foreignUntil) {
+    previousOwners.put(id, new PreviousOwner(0, foreignUntil, 0));
   }
 
   void reassign(TargetId newOwner, long newToken, long version, long nowMs) {
     long untilMs = grantInFlight ? Math.max(heldUntilMs, inFlightUntilMs) : heldUntilMs;
     long openUntilMs = grantInFlight ? inFlightUntilMs : unansweredUntilMs;
     previousOwners.values().forEach(PreviousOwner::restart);
-    if (untilMs > nowMs) {
-      previousOwners.put(owner, new PreviousOwner(untilMs, openUntilMs));
+    if (Math.max(untilMs, foreignUntilMs) > nowMs) {
+      previousOwners.put(owner, new PreviousOwner(untilMs, foreignUntilMs, openUntilMs));
     }
     owner = newOwner;
     neededVersion = version;
     heldUntilMs = 0;
+    foreignUntilMs = 0;
     unansweredUntilMs = 0;
     handover = Optional.empty();
     restartWith(newToken);
@@ -177,6 +199,7 @@
     }
     if (owner.equals(id)) {
       heldUntilMs = 0;
+      foreignUntilMs = 0;
       inFlightUntilMs = 0;
       unansweredUntilMs = 0;
     }
@@ -198,6 +221,7 @@
   HeldRange joinedWith(HeldRange next) {
     HeldRange joined = withKeys(new KeyRange(range.first(), next.range.last()));
     joined.heldUntilMs = Math.max(heldUntilMs, next.heldUntilMs);
+    joined.foreignUntilMs = Math.max(foreignUntilMs, next.foreignUntilMs);
     joined.neededVersion = Math.max(neededVersion, next.neededVersion);
     return joined;
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -3,8 +3,8 @@
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.protocol.LeaseLeft;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,7 +60,7 @@
     version++;
     for (RangeAssignment assignment : table.assignments()) {
       HeldRange held = new HeldRange(assignment.range(), assignment.owner(), token, version);
-      held.assumeHeldUntil(foreignUntilMs);
+      held.assumeForeignLease(foreignUntilMs);
       for (TargetId id : assignment.previousOwners()) {
         held.assumePreviousOwner(id, foreignUntilMs);
       }
@@ -71,6 +71,51 @@
     routesChanged = true;
   }
 
+  /**
+   * Learns from the holder before which leases may still be in force; it grants no more.
+   *
+   * @param leases every lease that it knows of, of any service; not null
+   * @param nowMs the time; milliseconds
+   */
+  public void limitForeignLeases(List<LeaseLeft> leases, long nowMs) {
+    for (HeldRange held : ranges) {
+      held.limitForeign(target -> nowMs + longestLeft(leases, held.range(), target));
+    }
+  }
+
+  private long longestLeft(List<LeaseLeft> leases, KeyRange range, TargetId target) {
+    long leftMs = 0;
+    for (LeaseLeft lease : leases) {
+      boolean overlaps = lease.firstKey() <= range.last() && range.first() <= lease.lastKey();
+      if (overlaps && lease.target().equals(target) && lease.service().equals(service)) {
+        leftMs = Math.max(leftMs, lease.leftMs());
+      }
+    }
+    return leftMs;
+  }
+
+  /**
+   * Returns which leases may still be in force.
+   *
+   * @param nowMs the time; milliseconds
+   * @return never null
+   */
+  public List<LeaseLeft> leasesLeft(long nowMs) {
+    List<LeaseLeft> result = new ArrayList<>();
+    for (HeldRange held : ranges) {
+      addLeft(held.range(), held.owner(), held.ownerUntilMs() - nowMs, result);
+      held.previousOwners()
+          .forEach((id, past) -> addLeft(held.range(), id, past.untilMs() - nowMs, result));
+    }
+    return result;
+  }
+
+  private void addLeft(KeyRange range, TargetId target, long leftMs, List<LeaseLeft> result) {
+    if (leftMs > 0) {
+      result.add(new LeaseLeft(service, range.first(), range.last(), target, leftMs));
+    }
+  }
+
   /**
    * Assigns all keys for the first time, in proportion to the slots of the targets.
    *
@@ -415,34 +460,20 @@
   }
 
   /**
-   * Returns the ranges of each target that may be moved without a detour.
+   * Returns the ranges of each target that may be moved without a detour, or the others.
    *
+   * @param settled true for those that may be moved, false for those on which something is under
+   *     way
    * @param nowMs the time; milliseconds
    * @return by owner; never null
    */
-  public Map<TargetId, List<KeyRange>> settledRanges(long nowMs) {
+  public Map<TargetId, List<KeyRange>> rangesByOwner(boolean settled, long nowMs) {
     Map<TargetId, List<KeyRange>> result = new HashMap<>();
     for (HeldRange held : ranges) {
-      if (held.isSettled(nowMs)) {
+      if (held.isSettled(nowMs) == settled) {
         result.computeIfAbsent(held.owner(), id -> new ArrayList<>()).add(held.range());
       }
     }
     return result;
   }
-
-  /**
-   * Returns the targets that own, are to own or may hold ranges which are on the move.
-   *
-   * @return never null
-   */
-  public Collection<TargetId> targetsOnTheMove() {
-    List<TargetId> result = new ArrayList<>();
-    for (HeldRange held : ranges) {
-      if (!held.isOpen()) {
-        result.add(held.owner());
-        result.addAll(held.previousOwners().keySet());
-      }
-    }
-    return result;
-  }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
@@ -3,9 +3,12 @@
 /** What is known of a target that may still hold a range which another one is to get. */
 final class PreviousOwner {
 
-  /** Until when a lease of it may be in force. */
+  /** Until when a lease of it may be in force that this holder granted. */
   private long heldUntilMs;
 
+  /** The same for leases that earlier holders granted. */
+  private long foreignUntilMs;
+
   /** Until when a grant that got no answer may still be carried out. */
   private long unansweredUntilMs;
 
@@ -13,13 +16,14 @@
   private boolean releaseInFlight;
   private long nextReleaseMs;
 
-  PreviousOwner(long heldUntilMs, long unansweredUntilMs) {
+  PreviousOwner(long heldUntilMs, long foreignUntilMs, long unansweredUntilMs) {
     this.heldUntilMs = heldUntilMs;
+    this.foreignUntilMs = foreignUntilMs;
     this.unansweredUntilMs = unansweredUntilMs;
   }
 
   PreviousOwner copy() {
-    PreviousOwner copy = new PreviousOwner(heldUntilMs, unansweredUntilMs);
+    PreviousOwner copy = new PreviousOwner(heldUntilMs, foreignUntilMs, unansweredUntilMs);
     copy.released = released;
     copy.releaseInFlight = releaseInFlight;
     copy.nextReleaseMs = nextReleaseMs;
@@ -34,7 +38,16 @@
   }
 
   boolean isFree(long nowMs) {
-    return heldUntilMs <= nowMs || (released && unansweredUntilMs <= nowMs);
+    return untilMs() <= nowMs || (released && unansweredUntilMs <= nowMs);
+  }
+
+  /** Returns until when any lease of it may be in force. */
+  long untilMs() {
+    return Math.max(heldUntilMs, foreignUntilMs);
+  }
+
+  void limitForeign(long untilMs) {
+    foreignUntilMs = Math.min(foreignUntilMs, untilMs);
   }
 
   boolean isReleaseDue(long nowMs) {
@@ -57,5 +70,6 @@
 
   void onGone() {
     heldUntilMs = 0;
+    foreignUntilMs = 0;
   }
 }
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/HolderEnded.java
@@ -0,0 +1,9 @@
+package io.cuminvalve.core.protocol;
+
+/**
+ * Sent by a new holder of the term to the one before: its term is over.
+ *
+ * @param term the new holder's term
+ * @since 0.2
+ */
+public record HolderEnded(long term) implements FleetMessage {}
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
@@ -62,17 +62,27 @@
   }
 
   @Test
-  void aTargetOnTheMoveIsLeftAlone() {
+  void rangesOnTheMoveCountAndStay() {
     for (int key = 5_000; key < 5_040; key++) {
       busy(key, 0.1);
     }
-    TargetLoad moving = new TargetLoad(A, 4, a.ranges(), false);
+    TargetLoad moving = new TargetLoad(A, 4, List.of(), a.ranges());
     assertThat(balancer.plan(List.of(moving, b, c), loads, 10)).isEmpty();
   }
 
+  @Test
+  void aTargetThatWaitsForKeysStillGivesHotOnes() {
+    for (int key = 5_000; key < 5_040; key++) {
+      busy(key, 0.1);
+    }
+    TargetLoad waiting = new TargetLoad(A, 4, a.ranges(), List.of(new KeyRange(30_000, 30_100)));
+    TargetLoad rest = target(C, new KeyRange(20_000, 29_999), new KeyRange(30_101, 65_535));
+    assertThat(balancer.plan(List.of(waiting, b, rest), loads, 10)).isNotEmpty();
+  }
+
   @Test
   void aNewTargetGetsKeysWithoutAnyLoad() {
-    TargetLoad fresh = new TargetLoad(new TargetId("d"), 4, List.of(), true);
+    TargetLoad fresh = new TargetLoad(new TargetId("d"), 4, List.of(), List.of());
     List<RangeMove> moves = balancer.plan(List.of(a, b, c, fresh), loads, 10);
     assertThat(moves.stream().map(RangeMove::to).toList()).contains(fresh.id());
   }
@@ -80,7 +90,7 @@
   @Test
   void aNewTargetGetsKeysFromTheOnlyOtherOne() {
     TargetLoad only = target(A, KeyRange.ALL);
-    TargetLoad fresh = new TargetLoad(B, 4, List.of(), true);
+    TargetLoad fresh = new TargetLoad(B, 4, List.of(), List.of());
     assertThat(balancer.plan(List.of(only, fresh), loads, 10)).hasSize(1);
   }
 
@@ -130,6 +140,6 @@
   }
 
   private static TargetLoad target(TargetId id, KeyRange... ranges) {
-    return new TargetLoad(id, 4, List.of(ranges), true);
+    return new TargetLoad(id, 4, List.of(ranges), List.of());
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -119,6 +119,19 @@
     assertThat(grantsTo(B, due(endsMs))).hasSize(1);
   }
 
+  @Test
+  void theHolderBeforeMayTellThatNothingIsLeft() {
+    LeaseDesk next = new LeaseDesk(SERVICE, TIMINGS, () -> 1_000 + ++tokens);
+    next.takeOver(desk.table(), 20_000);
+    next.move(FIRST_KEYS, B, 1_000);
+    next.onWritten(next.version());
+    assertThat(grantsTo(B, next.due(1_000, target -> true))).isEmpty();
+    next.limitForeignLeases(desk.leasesLeft(1_000), 1_000);
+    long endsMs = TIMINGS.boundMs(TIMINGS.leaseMs());
+    assertThat(grantsTo(B, next.due(endsMs - 1, target -> true))).isEmpty();
+    assertThat(grantsTo(B, next.due(endsMs, target -> true))).hasSize(1);
+  }
+
   @Test
   void aTargetWithEnoughToDoIsAskedLater() {
     assertThat(desk.due(1_000, target -> target.equals(B))).hasSize(1);
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
@@ -95,6 +95,9 @@
     WorldHolder next = new WorldHolder(holders.size() + 1, nowMs);
     next.cutFromOneTarget();
     holders.add(next);
+    if (random.nextInt(3) == 0) {
+      later(random.nextLong(3_000), () -> next.askPredecessor(last));
+    }
   }
 
   private void restartTarget() {
@@ -149,6 +152,7 @@
     private boolean storeReachable = true;
     private long stopsAtMs = Long.MAX_VALUE;
     private long tokenCount;
+    private final long takenOverFrom;
     private TargetId unreachable;
     private long reachableAtMs;
 
@@ -156,6 +160,7 @@
       this.term = term;
       this.desk = new LeaseDesk(SERVICE, TIMINGS, () -> (this.term << 20) + ++tokenCount);
       this.revision = storedRevision;
+      this.takenOverFrom = stored.term();
       stored.tables().forEach(t -> desk.takeOver(t, startMs + TIMINGS.foreignLeaseMs()));
     }
 
@@ -166,6 +171,14 @@
       reachableAtMs = nowMs + random.nextLong(15_000);
     }
 
+    /** The holder before stops and tells which leases may still be in force. */
+    void askPredecessor(WorldHolder predecessor) {
+      predecessor.stopped = true;
+      if (predecessor.term == takenOverFrom) {
+        desk.limitForeignLeases(predecessor.desk.leasesLeft(nowMs), nowMs);
+      }
+    }
+
     /** Another holder has the term; this one may or may not learn it from the store. */
     void cutOff(boolean unreachable) {
       storeReachable = !unreachable;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -98,7 +98,8 @@
             settings.process(),
             settings.seedPeers(),
             configuration,
-            reports);
+            reports,
+            this::onReplaced);
     this.termLease =
         new TermLease(
             ports.store(),
@@ -116,6 +117,10 @@
     link.onMessage(sender, message);
   }
 
+  private void onReplaced() {
+    termLease.onReplaced();
+  }
+
   /** Starts. */
   public void start() {
     network.start();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -6,7 +6,10 @@
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.FleetNews;
+import io.cuminvalve.core.protocol.HolderEnded;
 import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.core.protocol.LeaseLeft;
+import io.cuminvalve.core.protocol.LeasesLeft;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ServiceRanges;
@@ -22,6 +25,7 @@
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetwork;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -66,6 +70,7 @@
   private final GatewayPorts ports;
   private final String process;
   private final TrafficReports reports;
+  private final Runnable onReplaced;
   private final ConfigurationWatch configuration;
   private final List<String> seedPeers;
   private final long startedMs;
@@ -79,6 +84,9 @@
   private long routesTerm;
   private long routesVersion;
   private TargetsPush lastTargets = new TargetsPush(0, 0, List.of());
+  private Optional<String> formerHolder = Optional.empty();
+  private LeasesLeft lastLeases = new LeasesLeft(0, List.of());
+  private long lastLeasesMs;
   private RoutesPush lastRoutes = new RoutesPush(0, 0, List.of());
 
   FleetLink(
@@ -91,7 +99,8 @@
       String process,
       List<String> seedPeers,
       ConfigurationWatch configuration,
-      TrafficReports reports) {
+      TrafficReports reports,
+      Runnable onReplaced) {
     this.network = network;
     this.state = state;
     this.control = control;
@@ -100,6 +109,7 @@
     this.ports = ports;
     this.process = process;
     this.reports = reports;
+    this.onReplaced = onReplaced;
     this.configuration = configuration;
     this.seedPeers = seedPeers;
     this.startedMs = clock.nowMs();
@@ -114,10 +124,14 @@
 
   /** This gateway holds the term now, or no longer. */
   void setDuties(Optional<HolderDuties> now) {
-    duties = now;
     heardMs = clock.nowMs();
+    duties.ifPresent(ended -> lastLeases = new LeasesLeft(ended.term(), ended.leasesLeft()));
+    lastLeasesMs = heardMs;
+    duties = now;
     if (now.isPresent()) {
+      formerHolder = holderAddress;
       holderAddress = Optional.empty();
+      tellFormerHolder();
       closeOwnFollower();
     } else {
       subscribers.clear();
@@ -137,6 +151,11 @@
       onHello(sender, hello);
     } else if (message instanceof FleetNews news) {
       onNews(news);
+    } else if (message instanceof HolderEnded ended) {
+      onHolderEnded(sender, ended);
+    } else if (message instanceof LeasesLeft left) {
+      formerHolder = Optional.empty();
+      duties.ifPresent(d -> d.onLeasesLeft(left));
     } else if (message instanceof KeyLoadReport || message instanceof TargetTimesReport) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
@@ -150,6 +169,7 @@
 
   private void onPace() {
     if (duties.isPresent()) {
+      tellFormerHolder();
       dropSilentSubscribers();
       return;
     }
@@ -291,6 +311,35 @@
     onRoutesPush(news.routes());
   }
 
+  /** Asked until it answers: what it tells may free keys many seconds earlier. */
+  private void tellFormerHolder() {
+    long term = duties.orElseThrow().term();
+    formerHolder.ifPresent(address -> network.send(address, new HolderEnded(term)));
+  }
+
+  /** The term of this process is over: it stops at once, and tells what may still be in force. */
+  private void onHolderEnded(PeerChannel sender, HolderEnded ended) {
+    if (duties.isPresent() && duties.get().term() < ended.term()) {
+      onReplaced.run();
+    }
+    if (lastLeases.term() < ended.term()) {
+      long pastMs = clock.nowMs() - lastLeasesMs;
+      List<LeaseLeft> left = new ArrayList<>();
+      for (LeaseLeft lease : lastLeases.leases()) {
+        if (lease.leftMs() > pastMs) {
+          left.add(
+              new LeaseLeft(
+                  lease.service(),
+                  lease.firstKey(),
+                  lease.lastKey(),
+                  lease.target(),
+                  lease.leftMs() - pastMs));
+        }
+      }
+      sender.send(new LeasesLeft(lastLeases.term(), left));
+    }
+  }
+
   private void onHello(PeerChannel sender, FleetHello hello) {
     if (duties.isEmpty() || hello.targetsTerm() == 0) {
       tellNews(sender);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -9,6 +9,8 @@
 import io.cuminvalve.core.lease.OwnershipRecord;
 import io.cuminvalve.core.lease.OwnershipTable;
 import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.core.protocol.LeaseLeft;
+import io.cuminvalve.core.protocol.LeasesLeft;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetTime;
@@ -74,6 +76,9 @@
   private final Map<ServiceId, ServiceDuties> duties = new LinkedHashMap<>();
   private final Map<TargetId, String> lastAddresses = new HashMap<>();
   private Map<ServiceId, OwnershipTable> stored = Map.of();
+  private long storedTerm;
+  private Optional<LeasesLeft> foreignLeases = Optional.empty();
+  private long foreignToldMs;
   private boolean ready;
   private long tokenCount;
   private long routesVersion;
@@ -153,6 +158,26 @@
     }
   }
 
+  /** Returns every lease that may still be in force. */
+  List<LeaseLeft> leasesLeft() {
+    List<LeaseLeft> result = new ArrayList<>();
+    long nowMs = clock.nowMs();
+    duties.values().forEach(service -> result.addAll(service.desk().leasesLeft(nowMs)));
+    return result;
+  }
+
+  /** The holder before tells what it granted. Only the one that wrote last knows everything. */
+  void onLeasesLeft(LeasesLeft left) {
+    if (left.term() != 0 && left.term() == storedTerm) {
+      long nowMs = clock.nowMs();
+      foreignLeases = Optional.of(left);
+      foreignToldMs = nowMs;
+      duties.values().forEach(s -> s.desk().limitForeignLeases(left.leases(), nowMs));
+      log.write("foreign_leases_known", "term={} leases={}", left.term(), left.leases().size());
+      act();
+    }
+  }
+
   private void onTargetTime(TargetTime time) {
     follower
         .register()
@@ -165,6 +190,7 @@
     Map<ServiceId, OwnershipTable> tables = new HashMap<>();
     found.ifPresent(record -> record.tables().forEach(t -> tables.put(t.service(), t)));
     stored = tables;
+    storedTerm = found.map(OwnershipRecord::term).orElse(0L);
     duties.clear();
     ready = true;
     log.write(
@@ -241,6 +267,7 @@
     OwnershipTable table = stored.get(id);
     if (table != null && !table.assignments().isEmpty()) {
       desk.takeOver(table, startedMs + timings.foreignLeaseMs());
+      foreignLeases.ifPresent(left -> desk.limitForeignLeases(left.leases(), foreignToldMs));
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
     return new ServiceDuties(id, desk, log, clock.nowMs());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -150,10 +150,7 @@
     }
     Map<TargetId, Double> loadByTarget = new HashMap<>();
     targetLoads(ready, nowMs)
-        .forEach(
-            target ->
-                loadByTarget.put(
-                    target.id(), target.ranges().stream().mapToDouble(loads::of).sum()));
+        .forEach(target -> loadByTarget.put(target.id(), target.busySlots(loads)));
     for (KeyRange range : homeless) {
       for (KeyRange part : parts(range, ready.size())) {
         FleetTarget least = leastBusy(ready, loadByTarget);
@@ -218,21 +215,23 @@
   private void noteBusyTargets(List<TargetLoad> targets) {
     busy.clear();
     for (TargetLoad target : targets) {
-      double load = target.ranges().stream().mapToDouble(loads::of).sum();
-      if (load > BUSY_SHARE * target.slots()) {
+      if (target.busySlots(loads) > BUSY_SHARE * target.slots()) {
         busy.add(target.id());
       }
     }
   }
 
   private List<TargetLoad> targetLoads(List<FleetTarget> ready, long nowMs) {
-    Map<TargetId, List<KeyRange>> settled = desk.settledRanges(nowMs);
-    Set<TargetId> moving = new HashSet<>(desk.targetsOnTheMove());
+    Map<TargetId, List<KeyRange>> settled = desk.rangesByOwner(true, nowMs);
+    Map<TargetId, List<KeyRange>> others = desk.rangesByOwner(false, nowMs);
     List<TargetLoad> result = new ArrayList<>();
     for (FleetTarget target : ready) {
-      List<KeyRange> ranges = settled.getOrDefault(target.id(), List.of());
-      boolean movable = !moving.contains(target.id());
-      result.add(new TargetLoad(target.id(), target.slots(), ranges, movable));
+      result.add(
+          new TargetLoad(
+              target.id(),
+              target.slots(),
+              settled.getOrDefault(target.id(), List.of()),
+              others.getOrDefault(target.id(), List.of())));
     }
     return result;
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -147,6 +147,14 @@
     return holding && clock.nowMs() - confirmedMs > OUTAGE_MS;
   }
 
+  /** Another process has proved that it holds a later term. */
+  public void onReplaced() {
+    if (holding) {
+      lose("replaced");
+      watch();
+    }
+  }
+
   /** Asks the store at once whether the term is still ours. */
   public void confirm() {
     if (holding) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -25,6 +25,9 @@
   /** When a caller whose request did not run should come back; milliseconds. */
   private static final long RETRY_AFTER_MS = 250;
 
+  /** The same if the target that it needs has too much to do: that lasts longer than a move. */
+  private static final long BUSY_RETRY_AFTER_MS = 500;
+
   /** Pause before a request is offered again to the same owner; milliseconds. */
   private static final long SAME_OWNER_PAUSE_MS = 40;
 
@@ -109,7 +112,8 @@
     if (ran) {
       answer(CallerAnswer.BAD_GATEWAY, 0, reason);
     } else {
-      answer(CallerAnswer.UNAVAILABLE, RETRY_AFTER_MS, reason);
+      boolean busy = reason.endsWith("_busy");
+      answer(CallerAnswer.UNAVAILABLE, busy ? BUSY_RETRY_AFTER_MS : RETRY_AFTER_MS, reason);
     }
   }
 
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -8,6 +8,7 @@
 import io.cuminvalve.core.protocol.Heartbeat;
 import io.cuminvalve.core.protocol.HeartbeatReply;
 import io.cuminvalve.core.protocol.HolderAlive;
+import io.cuminvalve.core.protocol.HolderEnded;
 import io.cuminvalve.core.protocol.HolderLearnReply;
 import io.cuminvalve.core.protocol.HolderLearnRequest;
 import io.cuminvalve.core.protocol.HolderProbe;
@@ -21,6 +22,7 @@
 import io.cuminvalve.core.protocol.LearnRequest;
 import io.cuminvalve.core.protocol.LeaseReply;
 import io.cuminvalve.core.protocol.LeaseRequest;
+import io.cuminvalve.core.protocol.LeasesLeft;
 import io.cuminvalve.core.protocol.LoadReport;
 import io.cuminvalve.core.protocol.NotHolder;
 import io.cuminvalve.core.protocol.PeerMessage;
@@ -97,7 +99,9 @@
           type(39, RoutesPush.class),
           type(40, KeyLoadReport.class),
           type(41, TargetTimesReport.class),
-          type(42, FleetNews.class));
+          type(42, FleetNews.class),
+          type(43, HolderEnded.class),
+          type(44, LeasesLeft.class));
 
   private PeerMessageTypes() {}
 
