Know a target that another one replaced; ask all gateways for leases left

Change: an answer of another target ends sending there and is reported to the holder, which frees its keys at once; the later registration at an address wins, and none if both were seen together; a holder that ends tells all gateways what is left, and a new one asks them.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -98,6 +98,7 @@
       Thread.sleep(STOP_POLL_MS);
     }
     log.write("stopped", "in_flight={} after_ms={}", server.inFlight(), clock.nowMs() - startMs);
+    fleet.retire();
     close();
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/RequestHeaders.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/RequestHeaders.java
@@ -8,6 +8,8 @@
  * @param targetId names the only target that may run the request; not null
  * @param key the key of a request for a service whose keys have owners; not null
  * @param notExecuted present in the answer of a target that did not run the request; not null
+ * @param answeringTarget names the target that refused a request which was meant for another; not
+ *     null
  * @param signature proves that an answer comes from a target; not null
  * @since 0.2
  */
@@ -17,4 +19,5 @@
     String targetId,
     String key,
     String notExecuted,
+    String answeringTarget,
     String signature) {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -14,6 +14,7 @@
 import io.cuminvalve.wire.TcpPeerNetwork;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Everything of a gateway that is not traffic: configuration, term, targets, owners.
@@ -137,6 +138,17 @@
     control.execute(termLease::close);
   }
 
+  /** Ends the duties of a holder, if it is one, and tells the others. Returns when that is done. */
+  public void retire() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    control.execute(
+        () -> {
+          onLost();
+          done.complete(null);
+        });
+    done.join();
+  }
+
   /** Ends everything. */
   public void close() {
     control.execute(configuration::close);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -13,6 +13,7 @@
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.protocol.TargetReplaced;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsPush;
 import io.cuminvalve.gateway.GatewayPorts;
@@ -87,6 +88,9 @@
   private Optional<String> formerHolder = Optional.empty();
   private LeasesLeft lastLeases = new LeasesLeft(0, List.of());
   private long lastLeasesMs;
+  private LeasesLeft formerLeases = new LeasesLeft(0, List.of());
+  private long formerLeasesMs;
+  private boolean leasesLeftKnown;
   private RoutesPush lastRoutes = new RoutesPush(0, 0, List.of());
 
   FleetLink(
@@ -125,13 +129,13 @@
   /** This gateway holds the term now, or no longer. */
   void setDuties(Optional<HolderDuties> now) {
     heardMs = clock.nowMs();
-    duties.ifPresent(ended -> lastLeases = new LeasesLeft(ended.term(), ended.leasesLeft()));
-    lastLeasesMs = heardMs;
+    duties.ifPresent(this::tellLeasesLeft);
     duties = now;
     if (now.isPresent()) {
+      leasesLeftKnown = now.get().onLeasesLeft(formerLeases, formerLeasesMs);
       formerHolder = holderAddress;
       holderAddress = Optional.empty();
-      tellFormerHolder();
+      askForLeasesLeft();
       closeOwnFollower();
     } else {
       subscribers.clear();
@@ -154,9 +158,10 @@
     } else if (message instanceof HolderEnded ended) {
       onHolderEnded(sender, ended);
     } else if (message instanceof LeasesLeft left) {
-      formerHolder = Optional.empty();
-      duties.ifPresent(d -> d.onLeasesLeft(left));
-    } else if (message instanceof KeyLoadReport || message instanceof TargetTimesReport) {
+      onLeasesLeft(left);
+    } else if (message instanceof KeyLoadReport
+        || message instanceof TargetTimesReport
+        || message instanceof TargetReplaced) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
       onBeat(beat);
@@ -169,7 +174,7 @@
 
   private void onPace() {
     if (duties.isPresent()) {
-      tellFormerHolder();
+      askForLeasesLeft();
       dropSilentSubscribers();
       return;
     }
@@ -195,6 +200,7 @@
 
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
+    reports.takeReplacedTargets().forEach(this::report);
   }
 
   private void reportTargetTimes() {
@@ -311,33 +317,61 @@
     onRoutesPush(news.routes());
   }
 
-  /** Asked until it answers: what it tells may free keys many seconds earlier. */
-  private void tellFormerHolder() {
-    long term = duties.orElseThrow().term();
-    formerHolder.ifPresent(address -> network.send(address, new HolderEnded(term)));
+  /** Whoever is next need not wait for more than this, even if this process is gone by then. */
+  private void tellLeasesLeft(HolderDuties ended) {
+    lastLeases = new LeasesLeft(ended.term(), ended.leasesLeft());
+    lastLeasesMs = clock.nowMs();
+    subscribers.values().forEach(subscriber -> subscriber.channel().send(lastLeases));
   }
 
-  /** The term of this process is over: it stops at once, and tells what may still be in force. */
+  private void onLeasesLeft(LeasesLeft left) {
+    long nowMs = clock.nowMs();
+    if (left.term() > formerLeases.term()) {
+      formerLeases = left;
+      formerLeasesMs = nowMs;
+    }
+    duties.ifPresent(d -> leasesLeftKnown |= d.onLeasesLeft(left, nowMs));
+  }
+
+  /**
+   * Asks the holder before, and all others, which of its leases may be in force, until one knows.
+   *
+   * <p>What they tell may free keys many seconds earlier. The holder before stops at once, if it
+   * still runs.
+   */
+  private void askForLeasesLeft() {
+    if (leasesLeftKnown) {
+      return;
+    }
+    HolderEnded question = new HolderEnded(duties.orElseThrow().term());
+    formerHolder.ifPresent(address -> network.send(address, question));
+    subscribers.values().forEach(subscriber -> subscriber.channel().send(question));
+  }
+
+  /** The term of an earlier holder is over, perhaps of this process: then it stops at once. */
   private void onHolderEnded(PeerChannel sender, HolderEnded ended) {
     if (duties.isPresent() && duties.get().term() < ended.term()) {
       onReplaced.run();
     }
-    if (lastLeases.term() < ended.term()) {
-      long pastMs = clock.nowMs() - lastLeasesMs;
-      List<LeaseLeft> left = new ArrayList<>();
-      for (LeaseLeft lease : lastLeases.leases()) {
-        if (lease.leftMs() > pastMs) {
-          left.add(
-              new LeaseLeft(
-                  lease.service(),
-                  lease.firstKey(),
-                  lease.lastKey(),
-                  lease.target(),
-                  lease.leftMs() - pastMs));
-        }
+    boolean ownIsNewer = lastLeases.term() > formerLeases.term();
+    LeasesLeft known = ownIsNewer ? lastLeases : formerLeases;
+    long pastMs = clock.nowMs() - (ownIsNewer ? lastLeasesMs : formerLeasesMs);
+    if (known.term() == 0 || known.term() >= ended.term()) {
+      return;
+    }
+    List<LeaseLeft> left = new ArrayList<>();
+    for (LeaseLeft lease : known.leases()) {
+      if (lease.leftMs() > pastMs) {
+        left.add(
+            new LeaseLeft(
+                lease.service(),
+                lease.firstKey(),
+                lease.lastKey(),
+                lease.target(),
+                lease.leftMs() - pastMs));
       }
-      sender.send(new LeasesLeft(lastLeases.term(), left));
     }
+    sender.send(new LeasesLeft(known.term(), left));
   }
 
   private void onHello(PeerChannel sender, FleetHello hello) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -13,6 +13,7 @@
 import io.cuminvalve.core.protocol.LeasesLeft;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.protocol.TargetReplaced;
 import io.cuminvalve.core.protocol.TargetTime;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.route.RoutingConfiguration;
@@ -75,6 +76,9 @@
   private final long startedMs;
   private final Map<ServiceId, ServiceDuties> duties = new LinkedHashMap<>();
   private final Map<TargetId, String> lastAddresses = new HashMap<>();
+  private final Map<TargetId, Long> firstSeen = new HashMap<>();
+  private final Set<TargetId> ended = new HashSet<>();
+  private long listings;
   private Map<ServiceId, OwnershipTable> stored = Map.of();
   private long storedTerm;
   private Optional<LeasesLeft> foreignLeases = Optional.empty();
@@ -155,6 +159,9 @@
       }
     } else if (report instanceof TargetTimesReport times) {
       times.times().forEach(this::onTargetTime);
+    } else if (report instanceof TargetReplaced replaced) {
+      onReplaced(replaced.target());
+      onTargets();
     }
   }
 
@@ -166,16 +173,40 @@
     return result;
   }
 
-  /** The holder before tells what it granted. Only the one that wrote last knows everything. */
-  void onLeasesLeft(LeasesLeft left) {
-    if (left.term() != 0 && left.term() == storedTerm) {
-      long nowMs = clock.nowMs();
+  /**
+   * Learns what an earlier holder granted. Only the one that wrote last knows everything.
+   *
+   * @return whether it is the one that wrote last, as far as is known yet
+   */
+  boolean onLeasesLeft(LeasesLeft left, long toldMs) {
+    boolean newer = foreignLeases.isEmpty() || left.term() > foreignLeases.get().term();
+    if (left.term() != 0 && left.term() < term && newer) {
       foreignLeases = Optional.of(left);
-      foreignToldMs = nowMs;
-      duties.values().forEach(s -> s.desk().limitForeignLeases(left.leases(), nowMs));
-      log.write("foreign_leases_known", "term={} leases={}", left.term(), left.leases().size());
+      foreignToldMs = toldMs;
+      duties.values().forEach(service -> limitForeignLeases(service.desk()));
       act();
     }
+    return ready && foreignLeases.isPresent() && foreignLeases.get().term() == storedTerm;
+  }
+
+  private void limitForeignLeases(LeaseDesk desk) {
+    foreignLeases
+        .filter(left -> left.term() == storedTerm)
+        .ifPresent(
+            left -> {
+              desk.limitForeignLeases(left.leases(), foreignToldMs);
+              log.write("foreign_leases_known", "of={} left={}", storedTerm, left.leases().size());
+            });
+  }
+
+  /** A gateway met another target at the address of this one. */
+  private void onReplaced(TargetId id) {
+    if (ended.add(id)) {
+      log.write("target_replaced", "target={}", id);
+      lastAddresses.remove(id);
+      duties.values().forEach(service -> service.desk().onGone(id));
+      follower.forget(id);
+    }
   }
 
   private void onTargetTime(TargetTime time) {
@@ -203,32 +234,46 @@
   }
 
   private void onTargets() {
-    Map<String, TargetId> byAddress = new HashMap<>();
-    for (FleetTarget target : follower.register().all()) {
-      lastAddresses.put(target.id(), target.address());
-      byAddress.put(target.address(), target.id());
+    noteFirstSeen();
+    for (TargetId id : replacedTargets()) {
+      onReplaced(id);
     }
-    endReplacedTargets(byAddress);
     List<FleetTarget> targets = follower.register().all();
+    targets.forEach(target -> lastAddresses.put(target.id(), target.address()));
     state.update(snapshot -> snapshot.withTargets(targets));
     audience.onTargets(term, follower.register().version(), targets);
     act();
   }
 
-  /** A target whose address answers for another one has ended, whatever its leases say. */
-  private void endReplacedTargets(Map<String, TargetId> byAddress) {
+  private void noteFirstSeen() {
+    listings++;
+    for (FleetTarget target : follower.register().all()) {
+      firstSeen.putIfAbsent(target.id(), listings);
+    }
+  }
+
+  /**
+   * Finds targets that have ended: another one was registered at their address later.
+   *
+   * <p>Two that were seen for the first time together tell nothing: either may be the older one.
+   */
+  private Set<TargetId> replacedTargets() {
     Set<TargetId> replaced = new HashSet<>();
-    lastAddresses.forEach(
-        (id, address) -> {
-          TargetId now = byAddress.get(address);
-          if (now != null && !now.equals(id)) {
-            replaced.add(id);
-          }
-        });
-    for (TargetId id : replaced) {
-      lastAddresses.remove(id);
-      duties.values().forEach(service -> service.desk().onGone(id));
+    Map<String, FleetTarget> newest = new HashMap<>();
+    for (FleetTarget target : follower.register().all()) {
+      FleetTarget other = newest.putIfAbsent(target.address(), target);
+      if (other != null) {
+        long seen = firstSeen.get(target.id());
+        long otherSeen = firstSeen.get(other.id());
+        if (seen > otherSeen) {
+          replaced.add(other.id());
+          newest.put(target.address(), target);
+        } else if (seen < otherSeen) {
+          replaced.add(target.id());
+        }
+      }
     }
+    return replaced;
   }
 
   private void act() {
@@ -267,7 +312,7 @@
     OwnershipTable table = stored.get(id);
     if (table != null && !table.assignments().isEmpty()) {
       desk.takeOver(table, startedMs + timings.foreignLeaseMs());
-      foreignLeases.ifPresent(left -> desk.limitForeignLeases(left.leases(), foreignToldMs));
+      limitForeignLeases(desk);
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
     return new ServiceDuties(id, desk, log, clock.nowMs());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -9,9 +9,11 @@
 import io.cuminvalve.ports.fleet.RegistryChanges;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.fleet.TargetRegistry;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -45,6 +47,7 @@
   private final Runnable onChange;
   private final TargetRegister register = new TargetRegister();
   private final Map<TargetId, Long> removeAtMs = new HashMap<>();
+  private final Set<TargetId> ended = new HashSet<>();
   private boolean closed;
   private boolean listed;
   private long revision;
@@ -86,6 +89,12 @@
     return listed;
   }
 
+  /** A target is known to have ended before its registration lapses. */
+  void forget(TargetId id) {
+    ended.add(id);
+    register.remove(id);
+  }
+
   /** Returns how old the newest answer of the registry is; milliseconds. */
   long ageMs() {
     return clock.nowMs() - answeredMs;
@@ -107,7 +116,9 @@
     for (FleetTarget target : listing.targets()) {
       present.add(target.id());
     }
-    boolean changed = register.replaceAll(listing.targets(), true);
+    List<FleetTarget> living = new ArrayList<>(listing.targets());
+    living.removeIf(target -> ended.contains(target.id()));
+    boolean changed = register.replaceAll(living, true);
     for (FleetTarget known : register.all()) {
       if (present.contains(known.id())) {
         removeAtMs.remove(known.id());
@@ -157,6 +168,9 @@
     revision = Math.max(revision, changes.revision());
     boolean changed = false;
     for (FleetTarget target : changes.written()) {
+      if (ended.contains(target.id())) {
+        continue;
+      }
       removeAtMs.remove(target.id());
       boolean isNews = register.put(target);
       changed |= isNews;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -52,6 +52,8 @@
   private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
   private final Map<ServiceId, PriorityQueue<PlacementWish>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeByRouteMs = new HashMap<>();
+  private final Set<TargetId> replaced = new HashSet<>();
+  private final List<TargetId> replacedUnreported = new ArrayList<>();
   private long nextOrder;
 
   Dispatcher(
@@ -110,6 +112,20 @@
     serveWaiting(slot.target().service());
   }
 
+  /** Another target answers at the address of this one: it has ended, whatever is registered. */
+  synchronized void onReplaced(TargetId target) {
+    if (replaced.add(target)) {
+      replacedUnreported.add(target);
+    }
+  }
+
+  /** Returns the targets found replaced since the last call. */
+  synchronized List<TargetId> takeReplaced() {
+    List<TargetId> taken = List.copyOf(replacedUnreported);
+    replacedUnreported.clear();
+    return taken;
+  }
+
   /** Returns how long requests of a route take, over all targets; milliseconds. */
   synchronized long meanTimeMs(String route) {
     return meanTimeByRouteMs.getOrDefault(route, 0.0).longValue();
@@ -135,6 +151,7 @@
     synchronized (this) {
       services = List.copyOf(waiting.keySet());
       Predicate<TargetId> isGone = id -> state.current().target(id).isEmpty();
+      replaced.removeIf(isGone);
       slotsByTarget.entrySet().removeIf(e -> e.getValue().inUse() == 0 && isGone.test(e.getKey()));
     }
     services.forEach(this::serveWaiting);
@@ -224,7 +241,7 @@
   }
 
   private boolean hasRoom(FleetTarget target, RoutingSnapshot snapshot) {
-    return slotsOf(target, snapshot).hasRoom();
+    return !replaced.contains(target.id()) && slotsOf(target, snapshot).hasRoom();
   }
 
   private TargetSlots slotsOf(FleetTarget target, RoutingSnapshot snapshot) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -146,6 +146,7 @@
       return;
     }
     if (notExecuted) {
+      noteOtherTarget(answer.headers());
       end = AttemptEnd.FAILED;
       if (ended.compareAndSet(false, true)) {
         listener.onNotExecuted(this, answer.status());
@@ -158,6 +159,14 @@
     }
   }
 
+  /** Its address may belong to another target by now: then nothing more may go there. */
+  private void noteOtherTarget(HttpFields headers) {
+    String answering = headers.get(services.headers().answeringTarget());
+    if (answering != null && !answering.equals(slot.target().id().value())) {
+      services.dispatcher().onReplaced(slot.target().id());
+    }
+  }
+
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     fail(handedOver, cause.getClass().getSimpleName());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.protocol.TargetReplaced;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -36,4 +37,15 @@
   public FleetMessage takeTargetTimes() {
     return dispatcher.takeTimes();
   }
+
+  /**
+   * Takes the targets that were found replaced by others since the last call.
+   *
+   * @return never null
+   */
+  public List<FleetMessage> takeReplacedTargets() {
+    List<FleetMessage> result = new ArrayList<>();
+    dispatcher.takeReplaced().forEach(target -> result.add(new TargetReplaced(target)));
+    return result;
+  }
 }
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -43,6 +43,7 @@
 import io.cuminvalve.core.protocol.ShardsOpened;
 import io.cuminvalve.core.protocol.TablePush;
 import io.cuminvalve.core.protocol.TableRequest;
+import io.cuminvalve.core.protocol.TargetReplaced;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsPush;
 import java.util.Map;
@@ -101,7 +102,8 @@
           type(41, TargetTimesReport.class),
           type(42, FleetNews.class),
           type(43, HolderEnded.class),
-          type(44, LeasesLeft.class));
+          type(44, LeasesLeft.class),
+          type(45, TargetReplaced.class));
 
   private PeerMessageTypes() {}
 
