--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
@@ -17,29 +17,29 @@
 
   private final KeyLoads loads = new KeyLoads(MEMORY_MS, 0);
   private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
-  private final TargetLoad a = target(A, new KeyRange(0, 9_999));
-  private final TargetLoad b = target(B, new KeyRange(10_000, 19_999));
-  private final TargetLoad c = target(C, new KeyRange(20_000, 65_535));
+  private final TargetLoad first = target(A, new KeyRange(0, 9_999));
+  private final TargetLoad second = target(B, new KeyRange(10_000, 19_999));
+  private final TargetLoad third = target(C, new KeyRange(20_000, 65_535));
 
   @Test
   void evenLoadIsLeftAlone() {
     busy(100, 2.0);
     busy(10_100, 2.0);
     busy(20_100, 2.0);
-    assertThat(balancer.plan(List.of(a, b, c), loads, 10)).isEmpty();
+    assertThat(balancer.plan(List.of(first, second, third), loads, 10)).isEmpty();
   }
 
   @Test
-  void aBusyTargetGivesToSeveralAtOnce() {
+  void theBusyTargetGivesToSeveralAtOnce() {
     for (int key = 5_000; key < 5_040; key++) {
       busy(key, 0.1);
     }
-    List<RangeMove> moves = balancer.plan(List.of(a, b, c), loads, 10);
+    List<RangeMove> moves = balancer.plan(List.of(first, second, third), loads, 10);
     assertThat(moves.stream().map(RangeMove::to).toList()).containsAtLeast(B, C);
     assertThat(moves.stream().allMatch(move -> move.from().equals(A))).isTrue();
     double left = 4.0;
     for (RangeMove move : moves) {
-      assertThat(a.ranges().get(0).contains(move.keys())).isTrue();
+      assertThat(first.ranges().get(0).contains(move.keys())).isTrue();
       left -= loads.of(move.keys());
     }
     assertThat(left).isLessThan(2.5);
@@ -50,7 +50,7 @@
     for (int key = 0; key < 10_000; key += 50) {
       busy(key, 0.04);
     }
-    List<RangeMove> moves = balancer.plan(List.of(a, b, c), loads, 10);
+    List<RangeMove> moves = balancer.plan(List.of(first, second, third), loads, 10);
     assertThat(moves.size()).isAtLeast(2);
     for (int i = 0; i < moves.size(); i++) {
       for (int j = i + 1; j < moves.size(); j++) {
@@ -66,49 +66,51 @@
     for (int key = 5_000; key < 5_040; key++) {
       busy(key, 0.1);
     }
-    TargetLoad moving = new TargetLoad(A, 4, List.of(), a.ranges());
-    assertThat(balancer.plan(List.of(moving, b, c), loads, 10)).isEmpty();
+    TargetLoad moving = new TargetLoad(A, 4, List.of(), first.ranges());
+    assertThat(balancer.plan(List.of(moving, second, third), loads, 10)).isEmpty();
   }
 
   @Test
-  void aTargetThatWaitsForKeysStillGivesHotOnes() {
+  void theTargetThatWaitsForKeysStillGivesHotOnes() {
     for (int key = 5_000; key < 5_040; key++) {
       busy(key, 0.1);
     }
-    TargetLoad waiting = new TargetLoad(A, 4, a.ranges(), List.of(new KeyRange(30_000, 30_100)));
+    TargetLoad waiting =
+        new TargetLoad(A, 4, first.ranges(), List.of(new KeyRange(30_000, 30_100)));
     TargetLoad rest = target(C, new KeyRange(20_000, 29_999), new KeyRange(30_101, 65_535));
-    assertThat(balancer.plan(List.of(waiting, b, rest), loads, 10)).isNotEmpty();
+    assertThat(balancer.plan(List.of(waiting, second, rest), loads, 10)).isNotEmpty();
   }
 
   @Test
-  void aNewTargetGetsKeysWithoutAnyLoad() {
+  void theNewTargetGetsKeysWithoutAnyLoad() {
     TargetLoad fresh = new TargetLoad(new TargetId("d"), 4, List.of(), List.of());
-    List<RangeMove> moves = balancer.plan(List.of(a, b, c, fresh), loads, 10);
+    List<RangeMove> moves = balancer.plan(List.of(first, second, third, fresh), loads, 10);
     assertThat(moves.stream().map(RangeMove::to).toList()).contains(fresh.id());
   }
 
   @Test
-  void aNewTargetGetsKeysFromTheOnlyOtherOne() {
+  void theNewTargetGetsKeysFromTheOnlyOtherOne() {
     TargetLoad only = target(A, KeyRange.ALL);
     TargetLoad fresh = new TargetLoad(B, 4, List.of(), List.of());
     assertThat(balancer.plan(List.of(only, fresh), loads, 10)).hasSize(1);
   }
 
   @Test
-  void aHotKeyGoesToAMuchFasterTarget() {
+  void theHotKeyGoesToTheMuchFasterTarget() {
     busy(77, 3.0);
     TargetSpeeds speeds = new TargetSpeeds();
     speeds.onAnswers(B, 0.4, 1_000);
-    Optional<RangeMove> move = new HotKeyPlacement().plan(List.of(a, b, c), loads, speeds);
+    Optional<RangeMove> move =
+        new HotKeyPlacement().plan(List.of(first, second, third), loads, speeds);
     assertThat(move).hasValue(new RangeMove(new KeyRange(77, 77), A, B));
   }
 
   @Test
-  void aHotKeyAtTheFastestTargetStays() {
+  void theHotKeyAtTheFastestTargetStays() {
     busy(77, 3.0);
     TargetSpeeds speeds = new TargetSpeeds();
     speeds.onAnswers(A, 0.4, 1_000);
-    assertThat(new HotKeyPlacement().plan(List.of(a, b, c), loads, speeds)).isEmpty();
+    assertThat(new HotKeyPlacement().plan(List.of(first, second, third), loads, speeds)).isEmpty();
   }
 
   @Test
@@ -120,7 +122,7 @@
   }
 
   @Test
-  void aHotFragmentStays() {
+  void theHotFragmentStays() {
     busy(550, 1.0);
     TargetLoad left = target(A, new KeyRange(0, 5_000), new KeyRange(5_100, 30_000));
     TargetLoad right = target(B, new KeyRange(5_001, 5_099), new KeyRange(30_001, 65_535));
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
@@ -13,7 +13,7 @@
   private final TargetRegister register = new TargetRegister();
 
   @Test
-  void aSignOfLifeChangesNothing() {
+  void theSignOfLifeChangesNothing() {
     assertThat(register.put(target("a", TargetPhase.READY, 3_000))).isTrue();
     assertThat(register.put(target("a", TargetPhase.READY, 1_000))).isFalse();
     assertThat(register.version()).isEqualTo(1);
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -64,7 +64,7 @@
   }
 
   @Test
-  void aGrantThatMayStillBeCarriedOutIsWaitedFor() {
+  void theGrantThatMayStillBeCarriedOutIsWaitedFor() {
     LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(A, due(1_000)).get(0);
     desk.onGrantEnded(renewal, OrderOutcome.UNANSWERED, 1_000, 1_100);
     LeaseOrder.Release release = moveFirstKeysToB();
@@ -83,7 +83,7 @@
   }
 
   @Test
-  void aStaleTokenStopsRenewalsUntilTheTermIsConfirmed() {
+  void theStaleTokenStopsRenewalsUntilTheTermIsConfirmed() {
     LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(A, due(1_000)).get(0);
     desk.onGrantEnded(renewal, OrderOutcome.STALE, 1_000, 1_010);
     assertThat(desk.hasStaleTokens()).isTrue();
@@ -133,7 +133,7 @@
   }
 
   @Test
-  void aTargetWithEnoughToDoIsAskedLater() {
+  void theTargetWithEnoughToDoIsAskedLater() {
     assertThat(desk.due(1_000, target -> target.equals(B))).hasSize(1);
     assertThat(grantsTo(A, due(1_000))).hasSize(1);
   }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/retry/SharedRetryBudgetTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/retry/SharedRetryBudgetTest.java
@@ -15,7 +15,7 @@
   }
 
   @Test
-  void aShareOfTheRequestsIsAdded() {
+  void theShareOfTheRequestsIsAdded() {
     SharedRetryBudget budget = new SharedRetryBudget(0.2, 60, WINDOW_MS);
     for (int i = 0; i < 100; i++) {
       budget.onRequest(i * 10L);
@@ -24,7 +24,7 @@
   }
 
   @Test
-  void spentRepeatsCountForAWholeWindow() {
+  void spentRepeatsCountForTheWholeWindow() {
     SharedRetryBudget budget = new SharedRetryBudget(0.2, 60, WINDOW_MS);
     assertThat(repeatsAllowed(budget, 10, 500)).isEqualTo(6);
     assertThat(repeatsAllowed(budget, 10, 10_400)).isEqualTo(0);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OwnershipStoreTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OwnershipStoreTest.java
@@ -28,7 +28,7 @@
   }
 
   @Test
-  void aHolderThatReadALaterRecordNeverReplacesIt() {
+  void theHolderThatReadOneLaterRecordNeverReplacesIt() {
     read(earlier);
     read(later);
     write(later);
@@ -39,7 +39,7 @@
   }
 
   @Test
-  void anEarlierRecordBeforeTheFirstWriteIsTakenOver() {
+  void theEarlierRecordBeforeTheFirstWriteIsTakenOver() {
     read(earlier);
     read(later);
     write(earlier);
@@ -50,7 +50,7 @@
   }
 
   @Test
-  void aWriteWithoutAnAnswerIsLookedUp() {
+  void theWriteWithoutAnAnswerIsLookedUp() {
     read(earlier);
     memory.loseNextAnswer();
     write(earlier);
--- a/cuminvalve-router/src/test/java/io/cuminvalve/router/target/ResetAnswerTest.java
+++ b/cuminvalve-router/src/test/java/io/cuminvalve/router/target/ResetAnswerTest.java
@@ -38,13 +38,13 @@
   }
 
   @Test
-  void anEndOfTheStreamEndsTheAnswer() {
+  void theEndOfTheStreamEndsTheAnswer() {
     CompletableFuture<String> body = askTarget(false);
     assertThat(body.join()).isEqualTo("part of the body");
   }
 
   @Test
-  void aResetDoesNot() {
+  void theResetDoesNot() {
     CompletableFuture<String> body = askTarget(true);
     assertThat(body.handle((text, failure) -> failure != null).join()).isTrue();
   }
