Tell gateways only what changed; renew the lease first that ends first

Cause: in a fleet of 87 gateways and 319 targets the holder sent the whole map of owners (9 KB) to every gateway at every change, up to a hundred times a second, and every target's record whenever one changed. All gateways lost touch with it at the first assignment. Later it could not renew 700 leases a second, and always renewed low keys first: targets with high keys refused requests they had owned (421) from second 9 on.

Change: changes alone are pushed, at a pace that grows with the fleet; the whole state goes to newcomers and to those that lost something. Pauses of hellos and reports grow above 40 gateways. Renewals go out by urgency and less often when there are many. FleetLink is split: FleetView, Subscribers, EarlierLeases.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -106,6 +106,11 @@
     foreignUntilMs = untilMs;
   }
 
+  /** Returns until when the lease runs that this holder granted last; 0 if it granted none. */
+  long renewedUntilMs() {
+    return heldUntilMs;
+  }
+
   /** Returns until when the owner may hold the range, by whatever lease. */
   long ownerUntilMs() {
     long ours = grantInFlight ? Math.max(heldUntilMs, inFlightUntilMs) : heldUntilMs;
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.LeaseLeft;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -246,19 +247,36 @@
    */
   public List<LeaseOrder> due(long nowMs, Predicate<TargetId> mayAsk) {
     List<LeaseOrder> orders = new ArrayList<>();
+    List<HeldRange> toGrant = new ArrayList<>();
     for (HeldRange held : ranges) {
       if (held.neededVersion() > writtenVersion) {
         continue;
       }
       cleanupPending |= held.dropFreeOwners(nowMs);
       addReleases(held, nowMs, mayAsk, orders);
-      if (held.isGrantDue(nowMs) && mayAsk.test(held.owner())) {
+      if (held.isGrantDue(nowMs)) {
+        toGrant.add(held);
+      }
+    }
+    // Orders under way are bounded: those without a lease, then those that lose it first.
+    toGrant.sort(Comparator.comparingLong(HeldRange::renewedUntilMs));
+    for (HeldRange held : toGrant) {
+      if (mayAsk.test(held.owner())) {
         orders.add(grant(held, nowMs));
       }
     }
     return orders;
   }
 
+  /**
+   * Returns the pause between two renewals of a lease: longer if there are many leases, so that the
+   * holder has no more to send a second.
+   */
+  private long renewMs() {
+    long spreadMs = ranges.size() * timings.sendMs();
+    return Math.min(timings.longestRenewMs(), Math.max(timings.renewMs(), spreadMs));
+  }
+
   private void addReleases(
       HeldRange held, long nowMs, Predicate<TargetId> mayAsk, List<LeaseOrder> orders) {
     for (Map.Entry<TargetId, PreviousOwner> entry : held.previousOwners().entrySet()) {
@@ -285,8 +303,7 @@
    * @param nowMs the time; milliseconds
    */
   public void onGrantEnded(LeaseOrder.Grant order, OrderOutcome outcome, long sentMs, long nowMs) {
-    long nextMs =
-        outcome == OrderOutcome.DONE ? sentMs + timings.renewMs() : nowMs + timings.retryMs();
+    long nextMs = outcome == OrderOutcome.DONE ? sentMs + renewMs() : nowMs + timings.retryMs();
     for (HeldRange held : ranges) {
       if (!order.range().contains(held.range())) {
         continue;
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -9,6 +9,7 @@
 import io.cuminvalve.core.id.TargetId;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -18,7 +19,7 @@
   private static final TargetId A = new TargetId("a");
   private static final TargetId B = new TargetId("b");
   private static final LeaseTimings TIMINGS =
-      new LeaseTimings(4_000, 10_000, 1_000, 200, 0.02, 150, 9_500);
+      new LeaseTimings(4_000, 10_000, 1_000, 1_800, 5, 200, 0.02, 150, 9_500);
   private static final KeyRange FIRST_KEYS = new KeyRange(0, 99);
 
   private long tokens;
@@ -39,6 +40,37 @@
     assertThat(due(100)).hasSize(1);
   }
 
+  @Test
+  void theLeaseThatEndsFirstIsRenewedFirst() {
+    desk.due(1_000, A::equals).forEach(order -> grantEnds(order, OrderOutcome.DONE, 1_000));
+    AtomicInteger places = new AtomicInteger(1);
+    List<LeaseOrder> orders = desk.due(2_100, target -> places.getAndDecrement() > 0);
+    assertThat(orders).hasSize(1);
+    assertThat(orders.get(0).target()).isEqualTo(B);
+  }
+
+  @Test
+  void manyLeasesAreRenewedLessOften() {
+    for (int first = 0; first < 600; first += 2) {
+      desk.move(new KeyRange(first, first), B, 100);
+    }
+    desk.onWritten(desk.version());
+    for (int round = 0; round < 3; round++) {
+      due(1_000).forEach(order -> answer(order, 1_000));
+    }
+    assertThat(desk.rangeCount()).isAtLeast(400);
+    assertThat(due(1_000 + TIMINGS.longestRenewMs() - 1).isEmpty()).isTrue();
+    assertThat(due(1_000 + TIMINGS.longestRenewMs()).isEmpty()).isFalse();
+  }
+
+  private void answer(LeaseOrder order, long nowMs) {
+    if (order instanceof LeaseOrder.Release release) {
+      desk.onReleaseEnded(release, OrderOutcome.DONE, Optional.empty(), nowMs);
+    } else {
+      grantEnds(order, OrderOutcome.DONE, nowMs);
+    }
+  }
+
   @Test
   void theNextOwnerIsGrantedAfterTheReleaseIsAnswered() {
     LeaseOrder.Release release = moveFirstKeysToB();
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
@@ -25,7 +25,8 @@
 final class LeaseWorld {
 
   static final ServiceId SERVICE = new ServiceId("core");
-  static final LeaseTimings TIMINGS = new LeaseTimings(4_000, 10_000, 1_000, 200, 0.02, 150, 9_500);
+  static final LeaseTimings TIMINGS =
+      new LeaseTimings(4_000, 10_000, 1_000, 1_800, 5, 200, 0.02, 150, 9_500);
 
   private static final int TARGETS = 5;
   private static final long STEP_MS = 25;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -8,13 +8,14 @@
 import io.cuminvalve.core.protocol.FleetNews;
 import io.cuminvalve.core.protocol.HolderEnded;
 import io.cuminvalve.core.protocol.KeyLoadReport;
-import io.cuminvalve.core.protocol.LeaseLeft;
 import io.cuminvalve.core.protocol.LeasesLeft;
 import io.cuminvalve.core.protocol.PeerMessage;
+import io.cuminvalve.core.protocol.RoutesChange;
 import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetReplaced;
 import io.cuminvalve.core.protocol.TargetTimesReport;
+import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -26,7 +27,6 @@
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetwork;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,16 +43,20 @@
  */
 final class FleetLink implements HolderDuties.Audience {
 
+  /** Pause between two hellos in a fleet of up to {@link #NARROW_FLEET} gateways. */
   private static final long HELLO_MS = 300;
 
   /** Pause between two reports of load: a hot key has to be noticed within a second. */
   private static final long KEY_WORK_MS = 150;
 
+  /** In a wider fleet the pauses grow with it, so that the holder hears no more a second. */
+  private static final int NARROW_FLEET = 40;
+
   /** Pause between two reports of times: the speed of a target seldom changes. */
   private static final long TARGET_TIMES_MS = 1_000;
 
-  /** Three hellos without an answer. */
-  private static final long SILENT_MS = 950;
+  /** Three hellos without an answer, and some. */
+  private static final double SILENT_HELLOS = 3.2;
 
   /** What the holder knows of the targets is too old to rely on: two paces and some. */
   private static final long STALE_REGISTRY_MS = 1_800;
@@ -60,9 +64,6 @@
   /** The store usually answers a process that starts within a few milliseconds. */
   private static final long ASK_SEEDS_AFTER_MS = 500;
 
-  /** After this long without a hello a gateway no longer counts. */
-  private static final long GONE_MS = 2_000;
-
   private final PeerNetwork network;
   private final RoutingState state;
   private final ControlThread control;
@@ -75,23 +76,15 @@
   private final ConfigurationWatch configuration;
   private final List<String> seedPeers;
   private final long startedMs;
-  private final Map<String, Subscriber> subscribers = new HashMap<>();
+  private final Subscribers subscribers = new Subscribers();
+  private final FleetView view = new FleetView();
+  private final EarlierLeases earlierLeases = new EarlierLeases();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
   private Optional<RegistryFollower> ownFollower = Optional.empty();
   private long heardMs;
-  private long targetsTerm;
-  private long targetsVersion;
-  private long routesTerm;
-  private long routesVersion;
-  private TargetsPush lastTargets = new TargetsPush(0, 0, List.of());
   private Optional<String> formerHolder = Optional.empty();
-  private LeasesLeft lastLeases = new LeasesLeft(0, List.of());
-  private long lastLeasesMs;
-  private LeasesLeft formerLeases = new LeasesLeft(0, List.of());
-  private long formerLeasesMs;
   private boolean leasesLeftKnown;
-  private RoutesPush lastRoutes = new RoutesPush(0, 0, List.of());
 
   FleetLink(
       PeerNetwork network,
@@ -121,9 +114,26 @@
   }
 
   void start() {
-    control.scheduleRepeatedly(this::onPace, HELLO_MS);
-    control.scheduleRepeatedly(this::reportKeyWork, KEY_WORK_MS);
-    control.scheduleRepeatedly(this::reportTargetTimes, TARGET_TIMES_MS);
+    repeat(this::onPace, HELLO_MS);
+    repeat(this::reportKeyWork, KEY_WORK_MS);
+    repeat(this::reportTargetTimes, TARGET_TIMES_MS);
+  }
+
+  private void repeat(Runnable task, long paceMs) {
+    control.schedule(
+        () -> {
+          repeat(task, paceMs);
+          task.run();
+        },
+        widened(paceMs));
+  }
+
+  private long widened(long paceMs) {
+    return paceMs * Math.max(NARROW_FLEET, state.current().processes()) / NARROW_FLEET;
+  }
+
+  private long silentMs() {
+    return (long) (widened(HELLO_MS) * SILENT_HELLOS);
   }
 
   /** This gateway holds the term now, or no longer. */
@@ -132,7 +142,8 @@
     duties.ifPresent(this::tellLeasesLeft);
     duties = now;
     if (now.isPresent()) {
-      leasesLeftKnown = now.get().onLeasesLeft(formerLeases, formerLeasesMs);
+      EarlierLeases.Memory heard = earlierLeases.heard();
+      leasesLeftKnown = now.get().onLeasesLeft(heard.left(), heard.toldMs());
       formerHolder = holderAddress;
       holderAddress = Optional.empty();
       askForLeasesLeft();
@@ -169,18 +180,23 @@
       onTargetsPush(push);
     } else if (message instanceof RoutesPush push) {
       onRoutesPush(push);
+    } else if (message instanceof TargetsChange change) {
+      onTargetsChange(change);
+    } else if (message instanceof RoutesChange change) {
+      onRoutesChange(change);
     }
   }
 
   private void onPace() {
     if (duties.isPresent()) {
       askForLeasesLeft();
-      dropSilentSubscribers();
+      subscribers.dropSilent(clock.nowMs(), widened(HELLO_MS));
+      updateProcesses();
       return;
     }
     sayHello();
     askSeeds();
-    boolean silent = clock.nowMs() - heardMs > SILENT_MS;
+    boolean silent = clock.nowMs() - heardMs > silentMs();
     if (silent && ownFollower.isEmpty()) {
       openOwnFollower();
     }
@@ -190,14 +206,10 @@
   private void askSeeds() {
     boolean lost = state.current().configuration().isEmpty() || holderAddress.isEmpty();
     if (lost && clock.nowMs() - startedMs > ASK_SEEDS_AFTER_MS) {
-      seedPeers.forEach(address -> network.send(address, hello()));
+      seedPeers.forEach(address -> network.send(address, view.hello(process)));
     }
   }
 
-  private FleetHello hello() {
-    return new FleetHello(process, targetsTerm, targetsVersion, routesTerm, routesVersion);
-  }
-
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
     reports.takeReplacedTargets().forEach(this::report);
@@ -216,7 +228,7 @@
   }
 
   private void sayHello() {
-    holderAddress.ifPresent(address -> network.send(address, hello()));
+    holderAddress.ifPresent(address -> network.send(address, view.hello(process)));
   }
 
   private void openOwnFollower() {
@@ -230,7 +242,7 @@
             List.copyOf(state.current().targets()),
             this::onOwnTargets);
     ownFollower = Optional.of(follower);
-    targetsTerm = 0;
+    view.distrustTargets();
     follower.start();
   }
 
@@ -260,33 +272,45 @@
   }
 
   private void onTargetsPush(TargetsPush push) {
-    if (duties.isPresent() || push.term() < routesTerm) {
+    if (duties.isEmpty() && view.take(push)) {
+      installTargets();
+    }
+  }
+
+  private void onTargetsChange(TargetsChange change) {
+    if (duties.isPresent()) {
       return;
     }
-    lastTargets = push;
-    targetsTerm = push.term();
-    targetsVersion = push.version();
-    if (clock.nowMs() - heardMs <= SILENT_MS) {
+    if (view.take(change)) {
+      installTargets();
+    } else if (change.version() > view.targets().version()) {
+      view.distrustTargets();
+    }
+  }
+
+  private void installTargets() {
+    if (clock.nowMs() - heardMs <= silentMs()) {
       closeOwnFollower();
-      state.update(snapshot -> snapshot.withTargets(push.targets()));
+      List<FleetTarget> targets = view.targets().targets();
+      state.update(snapshot -> snapshot.withTargets(targets));
     }
   }
 
   private void onRoutesPush(RoutesPush push) {
-    boolean older =
-        push.term() < routesTerm || (push.term() == routesTerm && push.version() <= routesVersion);
-    if (duties.isPresent() || older) {
-      return;
+    if (duties.isEmpty() && view.take(push)) {
+      installRoutes();
+    }
+  }
+
+  private void onRoutesChange(RoutesChange change) {
+    if (duties.isEmpty() && view.take(change)) {
+      installRoutes();
     }
-    lastRoutes = push;
-    routesTerm = push.term();
-    routesVersion = push.version();
-    install(push.services());
   }
 
-  private void install(List<ServiceRanges> services) {
+  private void installRoutes() {
     Map<ServiceId, KeyOwners> owners = new HashMap<>();
-    for (ServiceRanges ranges : services) {
+    for (ServiceRanges ranges : view.routes().services()) {
       owners.put(ranges.service(), new KeyOwners(ranges.ranges()));
     }
     state.update(snapshot -> snapshot.withOwners(owners));
@@ -300,8 +324,8 @@
             known.revision(),
             known.value(),
             duties.isPresent() ? network.localAddress() : holderAddress.orElse(""),
-            lastTargets,
-            lastRoutes));
+            view.targets(),
+            view.routes()));
   }
 
   private void onNews(FleetNews news) {
@@ -319,17 +343,14 @@
 
   /** Whoever is next need not wait for more than this, even if this process is gone by then. */
   private void tellLeasesLeft(HolderDuties ended) {
-    lastLeases = new LeasesLeft(ended.term(), ended.leasesLeft());
-    lastLeasesMs = clock.nowMs();
-    subscribers.values().forEach(subscriber -> subscriber.channel().send(lastLeases));
+    LeasesLeft left = new LeasesLeft(ended.term(), ended.leasesLeft());
+    earlierLeases.onOwnTermEnded(left, clock.nowMs());
+    subscribers.tell(left);
   }
 
   private void onLeasesLeft(LeasesLeft left) {
     long nowMs = clock.nowMs();
-    if (left.term() > formerLeases.term()) {
-      formerLeases = left;
-      formerLeasesMs = nowMs;
-    }
+    earlierLeases.onHeard(left, nowMs);
     duties.ifPresent(d -> leasesLeftKnown |= d.onLeasesLeft(left, nowMs));
   }
 
@@ -345,7 +366,7 @@
     }
     HolderEnded question = new HolderEnded(duties.orElseThrow().term());
     formerHolder.ifPresent(address -> network.send(address, question));
-    subscribers.values().forEach(subscriber -> subscriber.channel().send(question));
+    subscribers.tell(question);
   }
 
   /** The term of an earlier holder is over, perhaps of this process: then it stops at once. */
@@ -353,59 +374,25 @@
     if (duties.isPresent() && duties.get().term() < ended.term()) {
       onReplaced.run();
     }
-    boolean ownIsNewer = lastLeases.term() > formerLeases.term();
-    LeasesLeft known = ownIsNewer ? lastLeases : formerLeases;
-    long pastMs = clock.nowMs() - (ownIsNewer ? lastLeasesMs : formerLeasesMs);
-    if (known.term() == 0 || known.term() >= ended.term()) {
-      return;
-    }
-    List<LeaseLeft> left = new ArrayList<>();
-    for (LeaseLeft lease : known.leases()) {
-      if (lease.leftMs() > pastMs) {
-        left.add(
-            new LeaseLeft(
-                lease.service(),
-                lease.firstKey(),
-                lease.lastKey(),
-                lease.target(),
-                lease.leftMs() - pastMs));
-      }
-    }
-    sender.send(new LeasesLeft(known.term(), left));
+    earlierLeases.leftBefore(ended.term(), clock.nowMs()).ifPresent(sender::send);
   }
 
   private void onHello(PeerChannel sender, FleetHello hello) {
-    if (duties.isEmpty() || hello.targetsTerm() == 0) {
+    boolean knowsNothing = hello.targetsTerm() == 0 && hello.routesTerm() == 0;
+    if (duties.isEmpty() || knowsNothing) {
       tellNews(sender);
     }
     if (duties.isEmpty()) {
       return;
     }
-    long nowMs = clock.nowMs();
-    subscribers.put(hello.process(), new Subscriber(sender, nowMs));
-    long term = duties.get().term();
-    sender.send(new FleetBeat(term, subscribers.size() + 1, duties.get().registryAgeMs()));
-    boolean lacksTargets =
-        hello.targetsTerm() != term || hello.targetsVersion() != lastTargets.version();
-    if (lacksTargets && lastTargets.term() == term) {
-      sender.send(lastTargets);
-    }
-    boolean lacksRoutes =
-        hello.routesTerm() != term || hello.routesVersion() != lastRoutes.version();
-    if (lacksRoutes && lastRoutes.term() == term) {
-      sender.send(lastRoutes);
-    }
-    updateProcesses();
-  }
-
-  private void dropSilentSubscribers() {
-    long nowMs = clock.nowMs();
-    subscribers.values().removeIf(subscriber -> nowMs - subscriber.heardMs() > GONE_MS);
+    HolderDuties holder = duties.get();
+    subscribers.onHello(sender, hello, holder.term(), view, clock.nowMs());
+    sender.send(new FleetBeat(holder.term(), subscribers.count() + 1, holder.registryAgeMs()));
     updateProcesses();
   }
 
   private void updateProcesses() {
-    int processes = subscribers.size() + 1;
+    int processes = subscribers.count() + 1;
     if (state.current().processes() != processes) {
       state.update(snapshot -> snapshot.withProcesses(processes));
     }
@@ -413,19 +400,13 @@
 
   @Override
   public void onTargets(long term, long version, List<FleetTarget> targets) {
-    lastTargets = new TargetsPush(term, version, targets);
-    subscribers.values().forEach(subscriber -> subscriber.channel().send(lastTargets));
+    subscribers.tell(view.publishTargets(term, version, targets));
   }
 
   @Override
   public void onRoutes(long term, long version, List<ServiceRanges> services) {
-    lastRoutes = new RoutesPush(term, version, services);
-    routesTerm = term;
-    routesVersion = version;
-    install(services);
-    subscribers.values().forEach(subscriber -> subscriber.channel().send(lastRoutes));
+    FleetMessage news = view.publishRoutes(term, version, services);
+    installRoutes();
+    subscribers.tell(news);
   }
-
-  /** A gateway that said hello. */
-  private record Subscriber(PeerChannel channel, long heardMs) {}
 }
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -0,0 +1,147 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.lease.RangeRoutes;
+import io.cuminvalve.core.protocol.FleetHello;
+import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.protocol.RoutesChange;
+import io.cuminvalve.core.protocol.RoutesPush;
+import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.protocol.TargetsChange;
+import io.cuminvalve.core.protocol.TargetsPush;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The targets and the owners of keys as the holder of the term told them last.
+ *
+ * <p>The holder keeps what it has told, to tell only what changes; the others keep what they heard,
+ * to patch it and to pass it on to a process that has just started. All methods are for the control
+ * thread.
+ */
+final class FleetView {
+
+  private TargetsPush targets = new TargetsPush(0, 0, List.of());
+  private RoutesPush routes = new RoutesPush(0, 0, List.of());
+
+  TargetsPush targets() {
+    return targets;
+  }
+
+  RoutesPush routes() {
+    return routes;
+  }
+
+  FleetHello hello(String process) {
+    return new FleetHello(
+        process, targets.term(), targets.version(), routes.term(), routes.version());
+  }
+
+  /** Notes what this process, as the holder, knows now. Returns what the others have to hear. */
+  FleetMessage publishTargets(long term, long version, List<FleetTarget> now) {
+    TargetsPush before = targets;
+    targets = new TargetsPush(term, version, now);
+    if (before.term() != term) {
+      return targets;
+    }
+    Map<TargetId, FleetTarget> gone = byId(before.targets());
+    List<FleetTarget> written = new ArrayList<>();
+    for (FleetTarget target : now) {
+      FleetTarget known = gone.remove(target.id());
+      if (!target.routesLike(known)) {
+        written.add(target);
+      }
+    }
+    return new TargetsChange(term, before.version(), version, written, List.copyOf(gone.keySet()));
+  }
+
+  /** Notes what this process, as the holder, decided now. Returns what the others have to hear. */
+  FleetMessage publishRoutes(long term, long version, List<ServiceRanges> now) {
+    RoutesPush before = routes;
+    routes = new RoutesPush(term, version, now);
+    if (before.term() != term) {
+      return routes;
+    }
+    Map<ServiceId, List<RangeRoute>> known = byService(before.services());
+    List<ServiceRanges> changed = new ArrayList<>();
+    for (ServiceRanges service : now) {
+      List<RangeRoute> earlier = known.getOrDefault(service.service(), List.of());
+      List<RangeRoute> changes = RangeRoutes.changes(earlier, service.ranges());
+      if (!changes.isEmpty()) {
+        changed.add(new ServiceRanges(service.service(), changes));
+      }
+    }
+    return new RoutesChange(term, before.version(), version, changed);
+  }
+
+  /** The holder has fallen silent: what it told of the targets has to be told again. */
+  void distrustTargets() {
+    targets = new TargetsPush(0, 0, targets.targets());
+  }
+
+  /** Takes all targets. Tells whether they are news: those of an earlier term are not. */
+  boolean take(TargetsPush push) {
+    boolean news = push.term() >= routes.term();
+    if (news) {
+      targets = push;
+    }
+    return news;
+  }
+
+  /** Takes all owners. Tells whether they are news. */
+  boolean take(RoutesPush push) {
+    boolean sameTerm = push.term() == routes.term();
+    boolean news = push.term() > routes.term() || (sameTerm && push.version() > routes.version());
+    if (news) {
+      routes = push;
+    }
+    return news;
+  }
+
+  /** Patches the targets. Tells whether it could: a change before this one may be missing. */
+  boolean take(TargetsChange change) {
+    boolean fits = change.term() == targets.term() && change.fromVersion() == targets.version();
+    if (!fits) {
+      return false;
+    }
+    Map<TargetId, FleetTarget> patched = byId(targets.targets());
+    change.removed().forEach(patched::remove);
+    change.written().forEach(target -> patched.put(target.id(), target));
+    targets = new TargetsPush(change.term(), change.version(), List.copyOf(patched.values()));
+    return true;
+  }
+
+  /** Patches the owners. Tells whether it could: a change before this one may be missing. */
+  boolean take(RoutesChange change) {
+    boolean fits = change.term() == routes.term() && change.fromVersion() == routes.version();
+    if (!fits) {
+      return false;
+    }
+    Map<ServiceId, List<RangeRoute>> patched = byService(routes.services());
+    for (ServiceRanges service : change.services()) {
+      List<RangeRoute> base = patched.getOrDefault(service.service(), List.of());
+      patched.put(service.service(), RangeRoutes.overlay(base, service.ranges()));
+    }
+    List<ServiceRanges> services = new ArrayList<>();
+    patched.forEach((id, ranges) -> services.add(new ServiceRanges(id, ranges)));
+    routes = new RoutesPush(change.term(), change.version(), services);
+    return true;
+  }
+
+  private static Map<TargetId, FleetTarget> byId(List<FleetTarget> targets) {
+    Map<TargetId, FleetTarget> result = new LinkedHashMap<>();
+    targets.forEach(target -> result.put(target.id(), target));
+    return result;
+  }
+
+  private static Map<ServiceId, List<RangeRoute>> byService(List<ServiceRanges> services) {
+    Map<ServiceId, List<RangeRoute>> result = new LinkedHashMap<>();
+    services.forEach(service -> result.put(service.service(), service.ranges()));
+    return result;
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -58,6 +58,11 @@
   /** Room for tokens within one term. */
   private static final int TOKEN_BITS = 20;
 
+  /**
+   * Pause between two changes of owners that are told, for each gateway: each gets its own copy.
+   */
+  private static final double TELL_MS_PER_GATEWAY = 0.5;
+
   /** A record of proofs may wait this long for a write that is needed anyway. */
   private static final long CLEANUP_MS = 2_000;
 
@@ -86,6 +91,8 @@
   private boolean ready;
   private long tokenCount;
   private long routesVersion;
+  private long routesToldMs;
+  private boolean tellPending;
   private long cleanupSinceMs;
   private long staleSinceMs = Long.MAX_VALUE;
   private Future<?> ticking;
@@ -295,10 +302,27 @@
       }
     }
     if (duties.values().stream().anyMatch(service -> service.desk().routesChanged())) {
+      tellRoutesAtPace(nowMs);
+    }
+  }
+
+  private void tellRoutesAtPace(long nowMs) {
+    long paceMs = (long) (state.current().processes() * TELL_MS_PER_GATEWAY);
+    long waitMs = routesToldMs + paceMs - nowMs;
+    if (waitMs <= 0) {
+      routesToldMs = nowMs;
       tellRoutes();
+    } else if (!tellPending) {
+      tellPending = true;
+      control.schedule(this::onTellDue, waitMs);
     }
   }
 
+  private void onTellDue() {
+    tellPending = false;
+    act();
+  }
+
   private void addServices(RoutingConfiguration configuration) {
     for (ServiceProfile profile : configuration.services().values()) {
       if (profile.keyed() && !duties.containsKey(profile.id())) {
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
@@ -0,0 +1,81 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.protocol.FleetHello;
+import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.wire.PeerChannel;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * The gateways that follow this one, which holds the term.
+ *
+ * <p>Changes go to all of them as they happen. One that lacks what was sent to it before its last
+ * hello has lost something on the way and gets everything again; what was sent since may still be
+ * under way. All methods are for the control thread.
+ */
+final class Subscribers {
+
+  /** After this many pauses between two hellos without one a gateway no longer counts. */
+  private static final int GONE_HELLOS = 7;
+
+  private final Map<String, Subscriber> byProcess = new HashMap<>();
+
+  /**
+   * Takes a hello. Sends what the sender lacks of what was decided in a term.
+   *
+   * @param sender where the hello came from; not null
+   * @param hello what the sender knows; not null
+   * @param term the term of this process
+   * @param view what this process knows; not null
+   * @param nowMs the time; milliseconds
+   */
+  void onHello(PeerChannel sender, FleetHello hello, long term, FleetView view, long nowMs) {
+    Subscriber known = byProcess.get(hello.process());
+    boolean fresh = known == null || !known.channel.equals(sender);
+    Subscriber subscriber = fresh ? new Subscriber(sender) : known;
+    byProcess.put(hello.process(), subscriber);
+    subscriber.heardMs = nowMs;
+    boolean lacksTargets =
+        fresh || hello.targetsTerm() != term || hello.targetsVersion() < subscriber.targetsDue;
+    if (lacksTargets && view.targets().term() == term) {
+      sender.send(view.targets());
+    }
+    boolean lacksRoutes =
+        fresh || hello.routesTerm() != term || hello.routesVersion() < subscriber.routesDue;
+    if (lacksRoutes && view.routes().term() == term) {
+      sender.send(view.routes());
+    }
+    subscriber.targetsDue = view.targets().version();
+    subscriber.routesDue = view.routes().version();
+  }
+
+  void tell(FleetMessage message) {
+    byProcess.values().forEach(subscriber -> subscriber.channel.send(message));
+  }
+
+  void dropSilent(long nowMs, long helloMs) {
+    long goneMs = GONE_HELLOS * helloMs;
+    byProcess.values().removeIf(subscriber -> nowMs - subscriber.heardMs > goneMs);
+  }
+
+  int count() {
+    return byProcess.size();
+  }
+
+  void clear() {
+    byProcess.clear();
+  }
+
+  /** A gateway that said hello. */
+  private static final class Subscriber {
+
+    private final PeerChannel channel;
+    private long heardMs;
+    private long targetsDue;
+    private long routesDue;
+
+    Subscriber(PeerChannel channel) {
+      this.channel = channel;
+    }
+  }
+}
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -39,12 +39,14 @@
 import io.cuminvalve.core.protocol.RouterHints;
 import io.cuminvalve.core.protocol.RouterLeave;
 import io.cuminvalve.core.protocol.RouterLeft;
+import io.cuminvalve.core.protocol.RoutesChange;
 import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ShardsOpened;
 import io.cuminvalve.core.protocol.TablePush;
 import io.cuminvalve.core.protocol.TableRequest;
 import io.cuminvalve.core.protocol.TargetReplaced;
 import io.cuminvalve.core.protocol.TargetTimesReport;
+import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
 import java.util.Map;
 
@@ -103,7 +105,9 @@
           type(42, FleetNews.class),
           type(43, HolderEnded.class),
           type(44, LeasesLeft.class),
-          type(45, TargetReplaced.class));
+          type(45, TargetReplaced.class),
+          type(46, RoutesChange.class),
+          type(47, TargetsChange.class));
 
   private PeerMessageTypes() {}
 
