--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.ports.http.DaemonThreadPool;
 import io.cuminvalve.router.caller.WatchingConnector;
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetClientLimits;
@@ -19,7 +20,6 @@
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * Listens for callers and for the question whether this gateway is ready, and carries requests.
@@ -92,10 +92,7 @@
             stopping);
     this.reports = new TrafficReports(keyWork, dispatcher);
     this.handler = new GatewayHandler(services, random.split());
-    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
-    threads.setName("caller");
-    threads.setDaemon(true);
-    this.server = new Server(threads);
+    this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress());
     this.readiness = connector(settings.readinessAddress());
     server.setHandler(new ReadinessHandler(readiness, settings.readinessPath(), ready, handler));
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -16,7 +16,6 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * Makes small HTTP calls, each bounded in time and size.
@@ -43,9 +42,7 @@
    * @param connectTimeoutMs how long opening a connection may take; milliseconds
    */
   public HttpCaller(String name, long connectTimeoutMs) {
-    QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
-    threads.setName(name);
-    threads.setDaemon(true);
+    DaemonThreadPool threads = new DaemonThreadPool(name, MAX_THREADS, MIN_THREADS);
     ClientConnector connector = new PlainConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.ManagedService;
+import io.cuminvalve.ports.http.DaemonThreadPool;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.client.AbstractConnectionPool;
@@ -18,7 +19,6 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
  * Sends requests to targets over pooled HTTP/1.1 connections.
@@ -54,9 +54,8 @@
   }
 
   private HttpClient newClient(TargetClientLimits limits) {
-    QueuedThreadPool threads = new QueuedThreadPool(limits.maxThreads());
-    threads.setName("target");
-    threads.setDaemon(true);
+    DaemonThreadPool threads =
+        new DaemonThreadPool("target", limits.maxThreads(), limits.maxThreads());
     ClientConnector connector = new ResetReportingConnector();
     connector.setSelectors(1);
     connector.setExecutor(threads);
