Route by the store's record after a start, before a holder is heard of; hold the first requests

Cause: after the loss of all processes gateways listen 0.56 s after they run again, but serve nothing for another second: the new holder, whose processor is not warm, tells them the owners only 1.0 s later (190 requests refused as owner_unknown, 77 as no_configuration, in a restart of the quotes' fleet). Meanwhile all targets still hold their leases.

Change: a process that has heard of no owners 100 ms after its start reads the registry and the last record of the owners itself, unless the fleet starts for the first time. Stronger processes take a vacant term first. One codec for all.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -16,6 +16,8 @@
  * @param peerPort the port; 0 for any free one
  * @param headers the header fields in use; not null
  * @param firstCandidate whether it tries to take a vacant term at once; the others wait a little
+ * @param processorCores how many cores it may use; stronger processes take a vacant term first
+ * @param firstStart whether the whole fleet starts for the first time, so that nothing is known yet
  * @param leases the times of leases at targets; not null
  * @param repeatShare how many repeats are allowed for each request; 0 to 1
  * @param repeatsPerFleet how many more all gateways together may send in a window
@@ -37,6 +39,8 @@
     int peerPort,
     RequestHeaders headers,
     boolean firstCandidate,
+    double processorCores,
+    boolean firstStart,
     LeaseTimings leases,
     double repeatShare,
     double repeatsPerFleet,
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FirstLook.java
@@ -0,0 +1,95 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.lease.OwnershipRecord;
+import io.cuminvalve.core.lease.OwnershipTable;
+import io.cuminvalve.core.lease.RangeAssignment;
+import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.CodedException;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.ports.fleet.RegistryListing;
+import io.cuminvalve.ports.store.ReadResult;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.wire.RecordCodec;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a process reads from the store once after its start, to route before it hears of a holder.
+ *
+ * <p>When all processes have gone down together their targets still hold their leases for some
+ * seconds. The next holder needs about a second on a processor that is not warm yet before it can
+ * tell anybody. What the store says is as good until then: a target that does not own a key any
+ * more refuses it. For the control thread.
+ */
+final class FirstLook {
+
+  /** Learns what the store says. */
+  interface Listener {
+
+    /** The registered targets. */
+    void onTargets(List<FleetTarget> targets);
+
+    /** The owners as the last holder wrote them. */
+    void onOwners(List<ServiceRanges> owners);
+  }
+
+  private final GatewayPorts ports;
+  private final ControlThread control;
+  private final DecisionLog log;
+  private final RecordCodec codec;
+  private final Listener listener;
+
+  FirstLook(
+      GatewayPorts ports,
+      ControlThread control,
+      DecisionLog log,
+      RecordCodec codec,
+      Listener listener) {
+    this.ports = ports;
+    this.control = control;
+    this.log = log;
+    this.codec = codec;
+    this.listener = listener;
+  }
+
+  void start() {
+    ports.registry().list().thenAcceptAsync(this::onListing, control);
+    ports.store().readStale(OwnershipStore.KEY).thenAcceptAsync(this::onRecord, control);
+  }
+
+  private void onListing(RegistryListing listing) {
+    if (listing.available()) {
+      listener.onTargets(listing.targets());
+    }
+  }
+
+  private void onRecord(ReadResult result) {
+    if (result.value().isEmpty()) {
+      return;
+    }
+    StoreValue value = result.value().get();
+    try {
+      OwnershipRecord record = codec.decode(value.value(), OwnershipRecord.class);
+      List<ServiceRanges> owners = new ArrayList<>();
+      record.tables().forEach(table -> owners.add(rangesOf(table)));
+      log.write("owners_looked_up", "revision={} term={}", value.revision(), record.term());
+      listener.onOwners(owners);
+    } catch (CodedException unreadable) {
+      log.write("owners_unreadable", "revision={} why=\"{}\"", value.revision(), unreadable);
+    }
+  }
+
+  private static ServiceRanges rangesOf(OwnershipTable table) {
+    List<RangeRoute> ranges = new ArrayList<>();
+    for (RangeAssignment assignment : table.assignments()) {
+      boolean settled = assignment.previousOwners().isEmpty();
+      ranges.add(
+          new RangeRoute(assignment.firstKey(), assignment.lastKey(), assignment.owner(), settled));
+    }
+    return new ServiceRanges(table.service(), ranges);
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetworkSettings;
+import io.cuminvalve.wire.RecordCodec;
 import io.cuminvalve.wire.TcpPeerNetwork;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -36,6 +37,7 @@
   private final ControlThread control;
   private final MillisClock clock;
   private final DecisionLog log;
+  private final RecordCodec codec = new RecordCodec();
   private final TcpPeerNetwork network;
   private final ConfigurationWatch configuration;
   private final FleetLink link;
@@ -96,8 +98,8 @@
             clock,
             log,
             ports,
-            settings.process(),
-            settings.seedPeers(),
+            codec,
+            settings,
             configuration,
             reports,
             this::onReplaced);
@@ -108,8 +110,10 @@
             clock,
             random.split(),
             log,
+            codec,
             new TermNote(settings.process(), random.nextLong(), network.localAddress()),
             settings.firstCandidate(),
+            settings.processorCores(),
             settings.leases().holderGraceMs(),
             this);
   }
@@ -159,7 +163,7 @@
   public void onGained(long term) {
     HolderDuties next =
         new HolderDuties(
-            ports, state, control, clock, log, settings.leases(), term, termLease, link);
+            ports, state, control, clock, log, codec, settings.leases(), term, termLease, link);
     duties = Optional.of(next);
     link.setDuties(duties);
     next.start();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -18,6 +18,7 @@
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
 import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.traffic.KeyOwners;
 import io.cuminvalve.gateway.traffic.RoutingState;
@@ -27,6 +28,7 @@
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetwork;
+import io.cuminvalve.wire.RecordCodec;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,6 +63,9 @@
   /** What the holder knows of the targets is too old to rely on: two paces and some. */
   private static final long STALE_REGISTRY_MS = 1_800;
 
+  /** A holder that is there tells a process that starts everything within this time. */
+  private static final long FIRST_LOOK_AFTER_MS = 100;
+
   /** The store usually answers a process that starts within a few milliseconds. */
   private static final long ASK_SEEDS_AFTER_MS = 500;
 
@@ -70,11 +75,11 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final GatewayPorts ports;
-  private final String process;
+  private final GatewaySettings settings;
+  private final FirstLook firstLook;
   private final TrafficReports reports;
   private final Runnable onReplaced;
   private final ConfigurationWatch configuration;
-  private final List<String> seedPeers;
   private final long startedMs;
   private final Subscribers subscribers = new Subscribers();
   private final FleetView view = new FleetView();
@@ -93,8 +98,8 @@
       MillisClock clock,
       DecisionLog log,
       GatewayPorts ports,
-      String process,
-      List<String> seedPeers,
+      RecordCodec codec,
+      GatewaySettings settings,
       ConfigurationWatch configuration,
       TrafficReports reports,
       Runnable onReplaced) {
@@ -104,21 +109,28 @@
     this.clock = clock;
     this.log = log;
     this.ports = ports;
-    this.process = process;
+    this.settings = settings;
+    this.firstLook = new FirstLook(ports, control, log, codec, new FirstKnowledge());
     this.reports = reports;
     this.onReplaced = onReplaced;
     this.configuration = configuration;
-    this.seedPeers = seedPeers;
     this.startedMs = clock.nowMs();
     this.heardMs = clock.nowMs();
   }
 
   void start() {
+    control.schedule(this::lookIfUnaware, FIRST_LOOK_AFTER_MS);
     repeat(this::onPace, HELLO_MS);
     repeat(this::reportKeyWork, KEY_WORK_MS);
     repeat(this::reportTargetTimes, TARGET_TIMES_MS);
   }
 
+  private void lookIfUnaware() {
+    if (!settings.firstStart() && view.routes().services().isEmpty()) {
+      firstLook.start();
+    }
+  }
+
   private void repeat(Runnable task, long paceMs) {
     control.schedule(
         () -> {
@@ -206,7 +218,9 @@
   private void askSeeds() {
     boolean lost = state.current().configuration().isEmpty() || holderAddress.isEmpty();
     if (lost && clock.nowMs() - startedMs > ASK_SEEDS_AFTER_MS) {
-      seedPeers.forEach(address -> network.send(address, view.hello(process)));
+      settings
+          .seedPeers()
+          .forEach(address -> network.send(address, view.hello(settings.process())));
     }
   }
 
@@ -228,7 +242,7 @@
   }
 
   private void sayHello() {
-    holderAddress.ifPresent(address -> network.send(address, view.hello(process)));
+    holderAddress.ifPresent(address -> network.send(address, view.hello(settings.process())));
   }
 
   private void openOwnFollower() {
@@ -409,4 +423,22 @@
     installRoutes();
     subscribers.tell(news);
   }
+
+  /** What the store says counts only until a holder says more. */
+  private final class FirstKnowledge implements FirstLook.Listener {
+
+    @Override
+    public void onTargets(List<FleetTarget> targets) {
+      if (state.current().targets().isEmpty()) {
+        state.update(snapshot -> snapshot.withTargets(targets));
+      }
+    }
+
+    @Override
+    public void onOwners(List<ServiceRanges> owners) {
+      if (view.takeStored(owners)) {
+        installRoutes();
+      }
+    }
+  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -84,6 +84,15 @@
     targets = new TargetsPush(0, 0, targets.targets());
   }
 
+  /** Takes the owners as the store has them, unless a holder told more. Tells whether it did. */
+  boolean takeStored(List<ServiceRanges> owners) {
+    boolean unaware = routes.term() == 0 && routes.services().isEmpty();
+    if (unaware) {
+      routes = new RoutesPush(0, 0, owners);
+    }
+    return unaware;
+  }
+
   /** Takes all targets. Tells whether they are news: those of an earlier term are not. */
   boolean take(TargetsPush push) {
     boolean news = push.term() >= routes.term();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -23,6 +23,7 @@
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.wire.RecordCodec;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -103,6 +104,7 @@
       ControlThread control,
       MillisClock clock,
       DecisionLog log,
+      RecordCodec codec,
       LeaseTimings timings,
       long term,
       TermLease termLease,
@@ -125,7 +127,7 @@
             log,
             List.copyOf(state.current().targets()),
             this::onTargets);
-    this.ownership = new OwnershipStore(ports.store(), control, log, term);
+    this.ownership = new OwnershipStore(ports.store(), control, log, codec, term);
     this.sender =
         new OrderSender(
             ports.leases(),
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
@@ -26,23 +26,27 @@
  */
 final class OwnershipStore {
 
-  private static final String KEY = "cuminvalve/owners";
+  /** Where the assignments are kept. */
+  static final String KEY = "cuminvalve/owners";
+
   private static final long RETRY_MS = 200;
 
   private final KeyValueStore store;
   private final ControlThread control;
   private final DecisionLog log;
   private final long term;
-  private final RecordCodec codec = new RecordCodec();
+  private final RecordCodec codec;
   private long revision = KeyValueStore.ABSENT;
   private boolean writing;
   private boolean hasWritten;
   private boolean closed;
 
-  OwnershipStore(KeyValueStore store, ControlThread control, DecisionLog log, long term) {
+  OwnershipStore(
+      KeyValueStore store, ControlThread control, DecisionLog log, RecordCodec codec, long term) {
     this.store = store;
     this.control = control;
     this.log = log;
+    this.codec = codec;
     this.term = term;
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -63,6 +63,12 @@
   private static final long WATCH_MS = 20_000;
   private static final long RETRY_MS = 200;
 
+  /**
+   * Candidates with fewer cores wait longer, in proportion: in a fleet of unequal hosts the holder
+   * should be a strong one.
+   */
+  private static final double FULL_STRENGTH_CORES = 0.6;
+
   /** Candidates wait up to this long, so that one of them is usually alone. */
   private static final long MAX_DELAY_MS = 250;
 
@@ -75,9 +81,10 @@
   private final DecisionLog log;
   private final TermNote ownNote;
   private final boolean firstCandidate;
+  private final double processorCores;
   private final long graceMs;
   private final Listener listener;
-  private final RecordCodec codec = new RecordCodec();
+  private final RecordCodec codec;
 
   private boolean closed;
   private boolean candidate;
@@ -94,8 +101,10 @@
    * @param clock the time; not null
    * @param random spreads candidates; not null
    * @param log takes decisions; not null
+   * @param codec reads and writes what is kept; not null
    * @param ownNote what is written when this process takes the term; not null
    * @param firstCandidate whether it need not wait before it tries
+   * @param processorCores how many cores this process may use; above 0
    * @param graceMs for how long it goes on without an answer of the store; milliseconds
    * @param listener learns of changes; not null
    */
@@ -105,8 +114,10 @@
       MillisClock clock,
       RandomGenerator random,
       DecisionLog log,
+      RecordCodec codec,
       TermNote ownNote,
       boolean firstCandidate,
+      double processorCores,
       long graceMs,
       Listener listener) {
     this.store = store;
@@ -114,8 +125,10 @@
     this.clock = clock;
     this.random = random;
     this.log = log;
+    this.codec = codec;
     this.ownNote = ownNote;
     this.firstCandidate = firstCandidate;
+    this.processorCores = processorCores;
     this.graceMs = graceMs;
     this.listener = listener;
   }
@@ -213,8 +226,12 @@
       return;
     }
     candidate = true;
-    long delayMs = firstCandidate ? 0 : random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS);
-    control.schedule(this::apply, delayMs);
+    control.schedule(this::apply, firstCandidate ? 0 : candidateDelayMs());
+  }
+
+  private long candidateDelayMs() {
+    double weakness = Math.max(1, FULL_STRENGTH_CORES / processorCores);
+    return (long) (random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS) * weakness);
   }
 
   private void apply() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -30,11 +30,20 @@
 
   private final ExchangeServices services;
   private final RandomGenerator random;
+  private final EarlyRequests early;
   private final Set<EndPoint> busy = ConcurrentHashMap.newKeySet();
 
   GatewayHandler(ExchangeServices services, RandomGenerator random) {
     this.services = services;
     this.random = random;
+    this.early = new EarlyRequests(services.timers());
+    services.state().onChange(this::onStateChange);
+  }
+
+  private void onStateChange() {
+    if (services.state().current().configuration().isPresent()) {
+      early.onConfiguration();
+    }
   }
 
   /** Returns how many requests have been read and not answered. */
@@ -53,29 +62,47 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    final long arrivedMs = services.clock().nowMs();
+    long arrivedMs = services.clock().nowMs();
     Optional<RoutingConfiguration> configuration = services.state().current().configuration();
-    if (configuration.isEmpty()) {
-      refuse(request, response, CallerAnswer.UNAVAILABLE, "no_configuration", callback);
+    if (configuration.isPresent()) {
+      route(request, response, callback, configuration.get(), arrivedMs);
       return true;
     }
-    Optional<Route> route =
-        configuration.get().find(hostOf(request), request.getHttpURI().getPath());
+    Runnable refusal =
+        () -> refuse(request, response, CallerAnswer.UNAVAILABLE, "no_configuration", callback);
+    boolean held = early.hold(() -> go(request, response, callback, arrivedMs), refusal);
+    if (!held) {
+      refusal.run();
+    }
+    return true;
+  }
+
+  private void go(Request request, Response response, Callback callback, long arrivedMs) {
+    RoutingConfiguration configuration = services.state().current().configuration().orElseThrow();
+    route(request, response, callback, configuration, arrivedMs);
+  }
+
+  private void route(
+      Request request,
+      Response response,
+      Callback callback,
+      RoutingConfiguration configuration,
+      long arrivedMs) {
+    Optional<Route> route = configuration.find(hostOf(request), request.getHttpURI().getPath());
     if (route.isEmpty()) {
       refuse(request, response, CallerAnswer.NOT_FOUND, "no_route", callback);
-      return true;
+      return;
     }
-    if (request.getLength() > configuration.get().bounds().maxBodyBytes()) {
+    if (request.getLength() > configuration.bounds().maxBodyBytes()) {
       refuse(request, response, CallerAnswer.TOO_LARGE, "body_too_large", callback);
-      return true;
+      return;
     }
     busy.add(endPointOf(request));
     if (hasBody(request)) {
-      readBody(request, response, callback, configuration.get(), route.get(), arrivedMs);
+      readBody(request, response, callback, configuration, route.get(), arrivedMs);
     } else {
-      begin(request, response, callback, configuration.get(), route.get(), arrivedMs, new byte[0]);
+      begin(request, response, callback, configuration, route.get(), arrivedMs, new byte[0]);
     }
-    return true;
   }
 
   private static String hostOf(Request request) {
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -0,0 +1,123 @@
+package io.cuminvalve.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.OwnershipRecord;
+import io.cuminvalve.core.lease.OwnershipTable;
+import io.cuminvalve.core.lease.RangeAssignment;
+import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.ports.fleet.RegistryChanges;
+import io.cuminvalve.ports.fleet.RegistryListing;
+import io.cuminvalve.ports.fleet.TargetRegistry;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.wire.RecordCodec;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class FirstLookTest {
+
+  private static final ServiceId SERVICE = new ServiceId("core");
+  private static final TargetId A = new TargetId("a");
+  private static final TargetId B = new TargetId("b");
+  private static final FleetTarget TARGET =
+      new FleetTarget(A, SERVICE, "10.0.0.1:80", new DataCentreId("dc"), 4, TargetPhase.READY, 0);
+
+  private final MemoryStore memory = new MemoryStore();
+  private final RecordCodec codec = new RecordCodec();
+  private final ControlThread control = new ControlThread("test", FailureHandler.logging());
+  private final CompletableFuture<List<FleetTarget>> targets = new CompletableFuture<>();
+  private final CompletableFuture<List<ServiceRanges>> owners = new CompletableFuture<>();
+
+  @AfterEach
+  void tearDown() {
+    control.close();
+  }
+
+  @Test
+  void whatTheLastHolderWroteIsRouted() {
+    RangeAssignment settled = new RangeAssignment(0, 9, A, List.of());
+    RangeAssignment moving = new RangeAssignment(10, 65_535, B, List.of(A));
+    write(new OwnershipTable(SERVICE, List.of(settled, moving)));
+    look(true);
+    assertThat(targets.join()).containsExactly(TARGET);
+    assertThat(owners.join())
+        .containsExactly(
+            new ServiceRanges(
+                SERVICE,
+                List.of(new RangeRoute(0, 9, A, true), new RangeRoute(10, 65_535, B, false))));
+  }
+
+  @Test
+  void whatTheStoreDoesNotTellIsNotGuessed() {
+    look(false);
+    assertThat(targets.isDone()).isFalse();
+    assertThat(owners.isDone()).isFalse();
+  }
+
+  @Test
+  void unreadableRecordsAreLeftAlone() {
+    memory.write(OwnershipStore.KEY, new byte[] {1, 2}, KeyValueStore.ABSENT, Optional.empty());
+    look(true);
+    assertThat(owners.isDone()).isFalse();
+  }
+
+  private void write(OwnershipTable table) {
+    byte[] bytes = codec.encode(new OwnershipRecord(7, List.of(table)));
+    memory.write(OwnershipStore.KEY, bytes, KeyValueStore.ABSENT, Optional.empty());
+  }
+
+  private void look(boolean registryAnswers) {
+    GatewayPorts ports =
+        new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null);
+    DecisionLog log = new DecisionLog(() -> 0, 100);
+    FirstLook look = new FirstLook(ports, control, log, codec, new Findings());
+    control.execute(look::start);
+    for (int turn = 0; turn < 5; turn++) {
+      CompletableFuture<Void> done = new CompletableFuture<>();
+      control.execute(() -> done.complete(null));
+      done.join();
+    }
+  }
+
+  /** Keeps what was found. */
+  private final class Findings implements FirstLook.Listener {
+
+    @Override
+    public void onTargets(List<FleetTarget> found) {
+      targets.complete(found);
+    }
+
+    @Override
+    public void onOwners(List<ServiceRanges> found) {
+      owners.complete(found);
+    }
+  }
+
+  /** Has one target, or does not answer. */
+  private record Registry(boolean answers) implements TargetRegistry {
+
+    @Override
+    public CompletableFuture<RegistryListing> list() {
+      RegistryListing listing = new RegistryListing(true, List.of(TARGET), 1);
+      return CompletableFuture.completedFuture(answers ? listing : RegistryListing.unavailable());
+    }
+
+    @Override
+    public CompletableFuture<RegistryChanges> changes(long afterRevision, long waitMs) {
+      throw new UnsupportedOperationException();
+    }
+  }
+}
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
@@ -82,6 +82,15 @@
     assertThat(other.targets().targets()).containsExactly(target(A));
   }
 
+  @Test
+  void whatTheStoreSaysCountsUntilTheHolderSpeaks() {
+    assertThat(other.takeStored(routes(LOW))).isTrue();
+    assertThat(other.takeStored(routes(HIGH))).isFalse();
+    hear(holder.publishRoutes(5, 1, routes(LOW, HIGH)));
+    assertThat(other.takeStored(routes(LOW))).isFalse();
+    assertThat(other.routes().services()).isEqualTo(routes(LOW, HIGH));
+  }
+
   private void hear(FleetMessage message) {
     boolean taken;
     if (message instanceof RoutesPush push) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OwnershipStoreTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OwnershipStoreTest.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.wire.RecordCodec;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -18,8 +19,10 @@
   private final MemoryStore memory = new MemoryStore();
   private final ControlThread control = new ControlThread("test", FailureHandler.logging());
   private final DecisionLog log = new DecisionLog(() -> 0, 100);
-  private final OwnershipStore earlier = new OwnershipStore(memory, control, log, 2);
-  private final OwnershipStore later = new OwnershipStore(memory, control, log, 37);
+  private final OwnershipStore earlier =
+      new OwnershipStore(memory, control, log, new RecordCodec(), 2);
+  private final OwnershipStore later =
+      new OwnershipStore(memory, control, log, new RecordCodec(), 37);
   private final List<Long> overtakenBy = new ArrayList<>();
 
   @AfterEach
@@ -80,7 +83,7 @@
 
   private long termInStore() {
     CompletableFuture<Optional<OwnershipRecord>> read = new CompletableFuture<>();
-    OwnershipStore reader = new OwnershipStore(memory, control, log, 99);
+    OwnershipStore reader = new OwnershipStore(memory, control, log, new RecordCodec(), 99);
     control.execute(() -> reader.read(read::complete));
     return read.join().orElseThrow().term();
   }
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
@@ -24,6 +24,16 @@
    */
   CompletableFuture<ReadResult> read(String key);
 
+  /**
+   * Reads a key where an answer that is some seconds old does. May cost less than {@link #read}.
+   *
+   * @param key the key; not null
+   * @return never null
+   */
+  default CompletableFuture<ReadResult> readStale(String key) {
+    return read(key);
+  }
+
   /**
    * Writes a key if its revision is the expected one.
    *
