--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FirstLook.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FirstLook.java
@@ -56,11 +56,14 @@
     this.listener = listener;
   }
 
-  void start() {
-    ports.registry().list().thenAcceptAsync(this::onListing, control);
+  void readOwners() {
     ports.store().readStale(OwnershipStore.KEY).thenAcceptAsync(this::onRecord, control);
   }
 
+  void listTargets() {
+    ports.registry().list().thenAcceptAsync(this::onListing, control);
+  }
+
   private void onListing(RegistryListing listing) {
     if (listing.available()) {
       listener.onTargets(listing.targets());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -63,8 +63,8 @@
   /** What the holder knows of the targets is too old to rely on: two paces and some. */
   private static final long STALE_REGISTRY_MS = 1_800;
 
-  /** A holder that is there tells a process that starts everything within this time. */
-  private static final long FIRST_LOOK_AFTER_MS = 100;
+  /** In a wide fleet the registry takes several calls; a holder that is there may be faster. */
+  private static final long LIST_AFTER_MS = 60;
 
   /** The store usually answers a process that starts within a few milliseconds. */
   private static final long ASK_SEEDS_AFTER_MS = 500;
@@ -119,15 +119,18 @@
   }
 
   void start() {
-    control.schedule(this::lookIfUnaware, FIRST_LOOK_AFTER_MS);
+    if (!settings.firstStart()) {
+      firstLook.readOwners();
+      control.schedule(this::listIfUnaware, LIST_AFTER_MS);
+    }
     repeat(this::onPace, HELLO_MS);
     repeat(this::reportKeyWork, KEY_WORK_MS);
     repeat(this::reportTargetTimes, TARGET_TIMES_MS);
   }
 
-  private void lookIfUnaware() {
-    if (!settings.firstStart() && view.routes().services().isEmpty()) {
-      firstLook.start();
+  private void listIfUnaware() {
+    if (state.current().targets().isEmpty()) {
+      firstLook.listTargets();
     }
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -84,7 +84,8 @@
         new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null);
     DecisionLog log = new DecisionLog(() -> 0, 100);
     FirstLook look = new FirstLook(ports, control, log, codec, new Findings());
-    control.execute(look::start);
+    control.execute(look::readOwners);
+    control.execute(look::listTargets);
     for (int turn = 0; turn < 5; turn++) {
       CompletableFuture<Void> done = new CompletableFuture<>();
       control.execute(() -> done.complete(null));
