Leave even shares of wide fleets alone; act once for all answers that wait

Cause: with 134 targets an even share is 489 keys, below the 1,024 under which a range counted as a fragment. Fragments went back to a neighbour, their owner, now empty, got others: 40 moves a second before any traffic. And the holder looked at all ranges after every single answer of a target: at the first assignment it was busy for 2 s, so all gateways took it for silent and listed the registry themselves (690 calls).

Change: a fragment is at most a quarter of an even share, and never the only range of its owner; answers that wait are taken before the next look. The even part of a gateway at a target grows from 4 to 6 requests for each slot over all gateways: with 8 gateways and 2 slots it is 2 in place of 1.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeTidier.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeTidier.java
@@ -24,6 +24,9 @@
   /** Wider ranges are no fragments. */
   private static final int MAX_KEYS = 1_024;
 
+  /** Nor are those that are wider than this part of an even share of all keys. */
+  private static final double FRAGMENT_SHARE = 0.25;
+
   /** A range that keeps more of a slot busy stays where the balancer put it. */
   private static final double MAX_LOAD = 0.25;
 
@@ -46,11 +49,14 @@
       target.ranges().forEach(range -> owned.add(new Owned(range, target.id())));
     }
     owned.sort(Comparator.comparingInt(one -> one.range().first()));
+    double evenShare = (double) KeyRange.KEY_COUNT / targets.size();
+    double mostKeys = Math.min(MAX_KEYS, FRAGMENT_SHARE * evenShare);
     List<RangeMove> moves = new ArrayList<>();
     Set<TargetId> used = new HashSet<>();
     for (int i = 0; i < owned.size() && moves.size() < mostMoves; i++) {
       Owned fragment = owned.get(i);
-      if (!isFragment(fragment.range(), loads)) {
+      boolean isOnly = byId.get(fragment.owner()).ranges().size() == 1;
+      if (isOnly || !isFragment(fragment.range(), mostKeys, loads)) {
         continue;
       }
       for (Owned neighbour : neighbours(owned, i)) {
@@ -69,8 +75,8 @@
     return moves;
   }
 
-  private static boolean isFragment(KeyRange range, KeyLoads loads) {
-    return range.size() <= MAX_KEYS && loads.of(range) <= MAX_LOAD;
+  private static boolean isFragment(KeyRange range, double mostKeys, KeyLoads loads) {
+    return range.size() <= mostKeys && loads.of(range) <= MAX_LOAD;
   }
 
   private static boolean takesMore(TargetLoad target, KeyLoads loads) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -94,6 +94,7 @@
   private long routesVersion;
   private long routesToldMs;
   private boolean tellPending;
+  private boolean actPending;
   private long cleanupSinceMs;
   private long staleSinceMs = Long.MAX_VALUE;
   private Future<?> ticking;
@@ -135,7 +136,7 @@
             clock,
             log,
             id -> Optional.ofNullable(lastAddresses.get(id)),
-            this::act);
+            this::actSoon);
   }
 
   void start() {
@@ -285,7 +286,19 @@
     return replaced;
   }
 
+  /**
+   * Acts once for all answers that have arrived by then: each look at all ranges takes the longer
+   * the more there are, and so do the answers that wait meanwhile.
+   */
+  private void actSoon() {
+    if (!actPending) {
+      actPending = true;
+      control.execute(this::act);
+    }
+  }
+
   private void act() {
+    actPending = false;
     if (!ready || !follower.isListed()) {
       return;
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -34,7 +34,7 @@
 final class Dispatcher {
 
   /** Requests that all gateways together may have at a target, for each of its slots. */
-  private static final int REQUESTS_PER_SLOT = 4;
+  private static final int REQUESTS_PER_SLOT = 6;
 
   /** A target in another data centre counts as this many times slower; pays for the bytes. */
   private static final double REMOTE_COST = 1.6;
