Serve metrics, say in each line how new the knowledge was, bound the log by event

Cause: an engineer on call had neither counters nor the age of what decided a request, and one flooding event hid the others (60 lines a second for all).

Change: metrics in the Prometheus format on an address of the settings, read when they are scraped; every decision counts as an event whether its line is written or not; each event has 30 lines a second of its own; requests that are served leave a line too; lines of requests name the configuration, the owners' version and the age of the targets. A request that met a wrong owner asks again at once if newer owners are known by then.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -1,13 +1,17 @@
 package io.cuminvalve.gateway;
 
+import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.gateway.control.FleetControl;
 import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.observe.MetricsPage;
+import io.cuminvalve.gateway.observe.RequestMetrics;
 import io.cuminvalve.gateway.traffic.GatewayServer;
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SharedKey;
+import org.tinylog.Logger;
 
 /**
  * One gateway: listens for callers, takes part in the fleet, ends in a planned way.
@@ -19,14 +23,17 @@
   /** Assumed until the holder of the term has counted them. */
   private static final int ASSUMED_PROCESSES = 10;
 
-  /** The most lines of the log in one second; what goes beyond is counted. */
-  private static final int LOG_LINES_PER_SECOND = 60;
+  /** The most lines of one event in one second: 6 KB; what goes beyond is counted. */
+  private static final int LOG_LINES_PER_SECOND = 30;
 
   private static final long STOP_POLL_MS = 20;
+  private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
   private final MillisClock clock = MillisClock.system();
-  private final DecisionLog log = new DecisionLog(clock, LOG_LINES_PER_SECOND);
+  private final DecisionLog log = new DecisionLog(clock, LOG_LINES_PER_SECOND, Logger::info);
+  private final RequestMetrics metrics = new RequestMetrics();
+  private final MetricsPage page = new MetricsPage(metrics, log);
   private final RoutingState state = new RoutingState(ASSUMED_PROCESSES);
   private final ControlThread control = new ControlThread("control", FailureHandler.logging());
   private final GatewayServer server;
@@ -42,13 +49,45 @@
    */
   public Gateway(GatewaySettings settings, SharedKey sharedKey, GatewayPorts ports) {
     this.settings = settings;
-    this.server = new GatewayServer(settings, state, clock, log, this::isReady, () -> stopping);
+    this.server =
+        new GatewayServer(
+            settings, state, clock, log, metrics, page, this::isReady, () -> stopping);
     this.fleet =
         new FleetControl(ports, settings, sharedKey, state, control, clock, log, server.reports());
   }
 
+  private void addGauges() {
+    page.addGauge(
+        "cuminvalve_configuration_version",
+        "Version of the configuration in force; 0 if there is none.",
+        () -> state.current().configuration().map(RoutingConfiguration::version).orElse(0L));
+    page.addGauge("cuminvalve_targets", "Targets known.", () -> state.current().targets().size());
+    page.addGauge(
+        "cuminvalve_targets_age_seconds",
+        "How old the newest confirmation of the targets is.",
+        () -> (clock.nowMs() - state.targetsConfirmedMs()) / MS_PER_SECOND);
+    page.addGauge(
+        "cuminvalve_owners_term",
+        "Term of the holder that told the owners; 0 if they were read from the store.",
+        () -> state.current().ownersVersion().term());
+    page.addGauge(
+        "cuminvalve_keys_without_lease",
+        "Keys of all services whose owner has no lease now.",
+        () -> state.current().closedKeys());
+    page.addGauge("cuminvalve_gateways", "Gateways that run.", () -> state.current().processes());
+    page.addGauge(
+        "cuminvalve_holds_term",
+        "1 if this process holds the term, else 0.",
+        () -> fleet.holdsTerm() ? 1 : 0);
+    page.addGauge(
+        "cuminvalve_log_suppressed_lines",
+        "Lines of the log that were not written.",
+        log::suppressedLines);
+  }
+
   /** Starts. */
   public void start() {
+    addGauges();
     server.start();
     fleet.start();
     log.write(
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.lease.LeaseTimings;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * What a gateway has to know at its start.
@@ -11,6 +12,7 @@
  * @param dataCentre where it runs; not null
  * @param callerAddress where it listens for callers; not null
  * @param readinessAddress where it tells whether callers may be sent to it; not null
+ * @param metricsAddress where it serves its metrics, if anywhere; not null
  * @param readinessPath the path of that question; not null
  * @param peerHost the IP address on which it listens for other gateways; not null
  * @param peerPort the port; 0 for any free one
@@ -34,6 +36,7 @@
     String dataCentre,
     InetSocketAddress callerAddress,
     InetSocketAddress readinessAddress,
+    Optional<InetSocketAddress> metricsAddress,
     String readinessPath,
     String peerHost,
     int peerPort,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -43,6 +43,7 @@
   private final FleetLink link;
   private final TermLease termLease;
   private Optional<HolderDuties> duties = Optional.empty();
+  private volatile boolean holdsTerm;
 
   /**
    * Creates the control of a gateway. Opens the listener for peers.
@@ -159,12 +160,22 @@
     network.close();
   }
 
+  /**
+   * Tells whether this process holds the term. For any thread.
+   *
+   * @return true between taking and losing it
+   */
+  public boolean holdsTerm() {
+    return holdsTerm;
+  }
+
   @Override
   public void onGained(long term) {
     HolderDuties next =
         new HolderDuties(
             ports, state, control, clock, log, codec, settings.leases(), term, termLease, link);
     duties = Optional.of(next);
+    holdsTerm = true;
     link.setDuties(duties);
     next.start();
   }
@@ -173,6 +184,7 @@
   public void onLost() {
     duties.ifPresent(HolderDuties::close);
     duties = Optional.empty();
+    holdsTerm = false;
     link.setDuties(duties);
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -21,6 +21,7 @@
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.traffic.KeyOwners;
+import io.cuminvalve.gateway.traffic.OwnersVersion;
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.gateway.traffic.TrafficReports;
 import io.cuminvalve.kernel.ControlThread;
@@ -205,10 +206,12 @@
   private void onPace() {
     if (duties.isPresent()) {
       askForLeasesLeft();
+      state.confirmTargets(clock.nowMs() - duties.get().registryAgeMs());
       subscribers.dropSilent(clock.nowMs(), widened(HELLO_MS));
       updateProcesses();
       return;
     }
+    ownFollower.ifPresent(own -> state.confirmTargets(clock.nowMs() - own.ageMs()));
     sayHello();
     askSeeds();
     boolean silent = clock.nowMs() - heardMs > silentMs();
@@ -283,6 +286,7 @@
     if (beat.registryAgeMs() <= STALE_REGISTRY_MS) {
       heardMs = clock.nowMs();
     }
+    state.confirmTargets(clock.nowMs() - beat.registryAgeMs());
     if (state.current().processes() != beat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, beat.processes())));
     }
@@ -330,7 +334,8 @@
     for (ServiceRanges ranges : view.routes().services()) {
       owners.put(ranges.service(), new KeyOwners(ranges.ranges()));
     }
-    state.update(snapshot -> snapshot.withOwners(owners));
+    OwnersVersion version = new OwnersVersion(view.routes().term(), view.routes().version());
+    state.update(snapshot -> snapshot.withOwners(owners, version));
   }
 
   /** A process that starts while the store is silent learns here what it needs. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -191,6 +191,7 @@
     return target.map(
         found -> {
           slotsOf(found, snapshot).take();
+          wish.placedUnder(snapshot.ownersVersion());
           return new Slot(found);
         });
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.observe.RequestMetrics;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.router.request.Timers;
 import io.cuminvalve.router.target.TargetClient;
@@ -19,6 +20,7 @@
  * @param clock the time; not null
  * @param headers the header fields in use; not null
  * @param log takes decisions; not null
+ * @param metrics counts requests; not null
  * @param stopping whether this process is about to end; not null
  */
 record ExchangeServices(
@@ -31,4 +33,5 @@
     MillisClock clock,
     RequestHeaders headers,
     DecisionLog log,
+    RequestMetrics metrics,
     BooleanSupplier stopping) {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -1,6 +1,8 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.gateway.observe.RequestOutcome;
 import io.cuminvalve.router.caller.CallerHeaders;
 import io.cuminvalve.router.request.Timers.Cancellable;
 import org.eclipse.jetty.http.HttpFields;
@@ -136,9 +138,8 @@
       return;
     }
     if (finish()) {
-      if (failed) {
-        log("request_failed_at_target", attempt, "status_" + status);
-      }
+      count(failed ? RequestOutcome.FAILED_AT_TARGET : RequestOutcome.ANSWERED);
+      log(failed ? "request_failed_at_target" : "request_served", attempt, "status_" + status);
       HttpFields passed = CallerHeaders.passedOn(headers);
       CallerAnswer.relay(
           call.response(), status, passed, body, services.stopping().getAsBoolean(), ending());
@@ -211,13 +212,13 @@
       return;
     }
     // Only the owner may run it. Either somebody else is the owner by now, or the pause helps.
-    wish.avoidOwnersOf(services.state().current().ownersVersion());
+    wish.avoidOwnersUsed();
     services.timers().schedule(this::onOwnerPauseOver, SAME_OWNER_PAUSE_MS);
     seekSlot();
   }
 
   private void onOwnerPauseOver() {
-    wish.avoidOwnersOf(-1);
+    wish.acceptAnyOwner();
     services.dispatcher().serveWaiting(call.service());
   }
 
@@ -255,12 +256,16 @@
     if (attempt != null) {
       attempt.abandon("the caller is gone");
     }
+    count(RequestOutcome.CALLER_GONE);
+    log("caller_gone", attempt, "closed");
     call.callback().failed(new CallerGoneException());
     onEnded.run();
   }
 
   private void answer(int status, long retryAfterMs, String reason) {
     if (finish()) {
+      count(outcomeOf(status));
+      services.metrics().onGivenUp(reason);
       log("request_given_up", current, "status=" + status + " reason=" + reason);
       boolean closes = services.stopping().getAsBoolean();
       CallerAnswer.own(call.response(), status, retryAfterMs, closes, ending());
@@ -285,13 +290,29 @@
     return Callback.from(call.callback(), onEnded);
   }
 
+  private static RequestOutcome outcomeOf(int status) {
+    return switch (status) {
+      case CallerAnswer.UNAVAILABLE -> RequestOutcome.REFUSED;
+      case CallerAnswer.GATEWAY_TIMEOUT -> RequestOutcome.TIMED_OUT;
+      default -> RequestOutcome.BROKEN;
+    };
+  }
+
+  private void count(RequestOutcome outcome) {
+    long tookMs = services.clock().nowMs() - call.arrivedMs();
+    services.metrics().onEnded(call.route().name(), outcome, tookMs);
+  }
+
+  /** Writes what was decided, and how new what decided it was. */
   private void log(String event, TargetAttempt attempt, String why) {
     long nowMs = services.clock().nowMs();
+    RoutingSnapshot known = services.state().current();
     services
         .log()
         .write(
             event,
-            "id={} route={} service={} key={} target={} runs={} refusals={} age_ms={} why={}",
+            "id={} route={} service={} key={} target={} runs={} refusals={} age_ms={}"
+                + " config={} owners={} targets_age_ms={} why={}",
             call.attemptId(),
             call.route().name(),
             call.service(),
@@ -300,6 +321,9 @@
             runs,
             refusals,
             nowMs - call.arrivedMs(),
+            known.configuration().map(RoutingConfiguration::version).orElse(0L),
+            known.ownersVersion(),
+            nowMs - services.state().targetsConfirmedMs(),
             why);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -3,6 +3,8 @@
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.observe.MetricsPage;
+import io.cuminvalve.gateway.observe.RequestMetrics;
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.MillisClock;
@@ -12,10 +14,12 @@
 import io.cuminvalve.router.target.TargetClientLimits;
 import io.cuminvalve.router.wiring.RequestTimers;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Server;
@@ -47,6 +51,7 @@
   private final Server server;
   private final ServerConnector callers;
   private final ServerConnector readiness;
+  private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
   private final RequestTimers timers = new RequestTimers();
   private final TrafficReports reports;
@@ -59,6 +64,8 @@
    * @param state what routing knows; not null
    * @param clock the time; not null
    * @param log takes decisions; not null
+   * @param metrics counts requests; not null
+   * @param page what is counted, as text; not null
    * @param ready whether callers may be sent here; not null
    * @param stopping whether this process is about to end; not null
    */
@@ -67,6 +74,8 @@
       RoutingState state,
       MillisClock clock,
       DecisionLog log,
+      RequestMetrics metrics,
+      MetricsPage page,
       BooleanSupplier ready,
       BooleanSupplier stopping) {
     SplittableRandom random = new SplittableRandom();
@@ -89,13 +98,30 @@
             clock,
             settings.headers(),
             log,
+            metrics,
             stopping);
     this.reports = new TrafficReports(keyWork, dispatcher);
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress());
-    this.readiness = connector(settings.readinessAddress());
-    server.setHandler(new ReadinessHandler(readiness, settings.readinessPath(), ready, handler));
+    this.readiness = plainConnector(settings.readinessAddress());
+    this.scrapes = settings.metricsAddress().map(this::plainConnector);
+    Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, handler);
+    server.setHandler(new MetricsHandler(scrapes, page, traffic));
+    page.addGauge("cuminvalve_requests_in_flight", "Requests without an answer.", this::inFlight);
+    page.addGauge(
+        "cuminvalve_requests_waiting",
+        "Requests that wait for a slot of a target.",
+        dispatcher::waitingCount);
+  }
+
+  /** Few connections: one thread accepts and reads them. */
+  private ServerConnector plainConnector(InetSocketAddress address) {
+    ServerConnector connector = new ServerConnector(server, 0, 1, new HttpConnectionFactory());
+    connector.setHost(address.getHostString());
+    connector.setPort(address.getPort());
+    server.addConnector(connector);
+    return connector;
   }
 
   private ServerConnector connector(InetSocketAddress address) {
@@ -179,11 +205,11 @@
   }
 
   /**
-   * Returns the port for the question of readiness.
+   * Returns the port for scrapes of the metrics.
    *
-   * @return the port, once started
+   * @return the port, once started; empty if there is none
    */
-  public int readinessPort() {
-    return readiness.getLocalPort();
+  public Optional<Integer> metricsPort() {
+    return scrapes.map(ServerConnector::getLocalPort);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/KeyOwners.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/KeyOwners.java
@@ -44,4 +44,16 @@
     }
     return Optional.empty();
   }
+
+  /**
+   * Counts the keys whose owner has no lease.
+   *
+   * @return at least 0
+   */
+  public int closedKeys() {
+    return ranges.stream()
+        .filter(range -> !range.open())
+        .mapToInt(range -> range.lastKey() - range.firstKey() + 1)
+        .sum();
+  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.route.Route;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -17,7 +18,8 @@
   private final Consumer<Slot> onPlaced;
   private final Set<TargetId> tried = new HashSet<>();
   private long order;
-  private long avoidedOwnersVersion = -1;
+  private OwnersVersion placedUnder = OwnersVersion.NONE;
+  private Optional<OwnersVersion> avoided = Optional.empty();
 
   PlacementWish(Route route, ServiceId service, OptionalInt key, Consumer<Slot> onPlaced) {
     this.route = route;
@@ -50,13 +52,23 @@
     order = value;
   }
 
+  /** Notes by which state of the owners it was placed. */
+  void placedUnder(OwnersVersion version) {
+    placedUnder = version;
+  }
+
   /** What was known of the owners was wrong: wait for something newer. */
-  void avoidOwnersOf(long version) {
-    avoidedOwnersVersion = version;
+  void avoidOwnersUsed() {
+    avoided = Optional.of(placedUnder);
+  }
+
+  /** Nothing newer came: ask the same owner again. */
+  void acceptAnyOwner() {
+    avoided = Optional.empty();
   }
 
-  boolean accepts(long ownersVersion) {
-    return ownersVersion != avoidedOwnersVersion;
+  boolean accepts(OwnersVersion version) {
+    return avoided.filter(version::equals).isEmpty();
   }
 
   void placed(Slot slot) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
@@ -22,7 +22,7 @@
   private final Map<TargetId, FleetTarget> targets;
   private final Map<ServiceId, List<FleetTarget>> readyByService;
   private final Map<ServiceId, KeyOwners> owners;
-  private final long ownersVersion;
+  private final OwnersVersion ownersVersion;
   private final int processes;
 
   private RoutingSnapshot(
@@ -30,7 +30,7 @@
       Map<TargetId, FleetTarget> targets,
       Map<ServiceId, List<FleetTarget>> readyByService,
       Map<ServiceId, KeyOwners> owners,
-      long ownersVersion,
+      OwnersVersion ownersVersion,
       int processes) {
     this.configuration = configuration;
     this.targets = targets;
@@ -47,7 +47,8 @@
    * @return never null
    */
   public static RoutingSnapshot initial(int processes) {
-    return new RoutingSnapshot(Optional.empty(), Map.of(), Map.of(), Map.of(), 0, processes);
+    return new RoutingSnapshot(
+        Optional.empty(), Map.of(), Map.of(), Map.of(), OwnersVersion.NONE, processes);
   }
 
   /**
@@ -83,11 +84,12 @@
    * Returns a snapshot with other owners.
    *
    * @param next the owners of each service; not null
+   * @param version tells this state of the owners apart from others; not null
    * @return never null
    */
-  public RoutingSnapshot withOwners(Map<ServiceId, KeyOwners> next) {
+  public RoutingSnapshot withOwners(Map<ServiceId, KeyOwners> next, OwnersVersion version) {
     return new RoutingSnapshot(
-        configuration, targets, readyByService, Map.copyOf(next), ownersVersion + 1, processes);
+        configuration, targets, readyByService, Map.copyOf(next), version, processes);
   }
 
   /**
@@ -149,14 +151,23 @@
   }
 
   /**
-   * Returns a number that grows whenever owners change.
+   * Returns which state of the owners this is.
    *
-   * @return at least 0
+   * @return differs whenever owners differ; never null
    */
-  public long ownersVersion() {
+  public OwnersVersion ownersVersion() {
     return ownersVersion;
   }
 
+  /**
+   * Returns how many keys of all services have an owner without a lease.
+   *
+   * @return at least 0
+   */
+  public int closedKeys() {
+    return owners.values().stream().mapToInt(KeyOwners::closedKeys).sum();
+  }
+
   /**
    * Returns how many gateways run.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -13,6 +13,7 @@
 
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private volatile RoutingSnapshot snapshot;
+  private volatile long targetsConfirmedMs;
 
   /**
    * Creates the state of a process that knows nothing.
@@ -42,6 +43,24 @@
     listeners.forEach(Runnable::run);
   }
 
+  /**
+   * Notes that the targets known were those of the registry at a time.
+   *
+   * @param atMs the time; milliseconds
+   */
+  public void confirmTargets(long atMs) {
+    targetsConfirmedMs = atMs;
+  }
+
+  /**
+   * Returns when the targets known were last those of the registry.
+   *
+   * @return a time of the clock, 0 if never; milliseconds
+   */
+  public long targetsConfirmedMs() {
+    return targetsConfirmedMs;
+  }
+
   /**
    * Adds a listener, which is called on the control thread after each change.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -82,7 +82,7 @@
   private void look(boolean registryAnswers) {
     GatewayPorts ports =
         new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null);
-    DecisionLog log = new DecisionLog(() -> 0, 100);
+    DecisionLog log = new DecisionLog(() -> 0, 100, line -> {});
     FirstLook look = new FirstLook(ports, control, log, codec, new Findings());
     control.execute(look::readOwners);
     control.execute(look::listTargets);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OwnershipStoreTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OwnershipStoreTest.java
@@ -18,7 +18,7 @@
 
   private final MemoryStore memory = new MemoryStore();
   private final ControlThread control = new ControlThread("test", FailureHandler.logging());
-  private final DecisionLog log = new DecisionLog(() -> 0, 100);
+  private final DecisionLog log = new DecisionLog(() -> 0, 100, line -> {});
   private final OwnershipStore earlier =
       new OwnershipStore(memory, control, log, new RecordCodec(), 2);
   private final OwnershipStore later =
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -25,6 +25,7 @@
   private static final TargetId NEAR = new TargetId("near");
   private static final TargetId FAR = new TargetId("far");
 
+  private long ownersNumber;
   private final RoutingState state = new RoutingState(10);
   private final Dispatcher dispatcher =
       new Dispatcher(state, HERE, () -> 0, new SplittableRandom(1));
@@ -122,7 +123,9 @@
 
   private void owner(TargetId id, boolean open) {
     KeyOwners owners = new KeyOwners(List.of(new RangeRoute(0, 65_535, id, open)));
-    state.update(snapshot -> snapshot.withOwners(Map.of(SERVICE, owners)));
+    state.update(
+        snapshot ->
+            snapshot.withOwners(Map.of(SERVICE, owners), new OwnersVersion(1, ++ownersNumber)));
   }
 
   private static FleetTarget target(TargetId id, DataCentreId where, TargetPhase phase) {
