--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -61,8 +61,8 @@
   /** Three hellos without an answer, and some. */
   private static final double SILENT_HELLOS = 3.2;
 
-  /** What the holder knows of the targets is too old to rely on: two paces and some. */
-  private static final long STALE_REGISTRY_MS = 1_800;
+  /** What the holder knows of the targets is too old to rely on: a call, its pace and some. */
+  static final long STALE_REGISTRY_MS = 1_800;
 
   /** In a wide fleet the registry takes several calls; a holder that is there may be faster. */
   private static final long LIST_AFTER_MS = 60;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -29,9 +29,14 @@
 final class RegistryFollower {
 
   /** Pause between two calls: a target that leaves must get nothing after 2 s. */
-  private static final long PACE_MS = 350;
+  static final long PACE_MS = 350;
+
+  /**
+   * How long one call waits for a change. A holder whose knowledge is older than {@link
+   * FleetLink#STALE_REGISTRY_MS} passes for cut off, and every gateway asks the registry itself.
+   */
+  private static final long WAIT_MS = 1_100;
 
-  private static final long WAIT_MS = 5_000;
   private static final long RETRY_MS = 250;
 
   /** Entries that lapsed in an outage are back within 2 s of its end; a little more for pace. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -60,7 +60,7 @@
   /** Two renewals have failed, or one was not answered. */
   private static final long OUTAGE_MS = 1_000;
 
-  private static final long WATCH_MS = 20_000;
+  private static final long WATCH_MS = 30_000;
   private static final long RETRY_MS = 200;
 
   /**
