Refuse what an overloaded owner cannot bear at every gateway; keep uploads in their data centre

Cause: 87 gateways with one request each overfill a target that queues 8: the owner of a hot key answered 4,409 requests that it was full, each after a way there and back.

Change: in a fleet of more gateways than a target queues requests the holder tells with the owners which part of the requests for a range is refused at once; the busiest range pays for itself. The cost of another data centre grows with the body.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 
 /**
  * Grants, renews and moves the key ranges of one service, for the holder of the term.
@@ -449,15 +450,29 @@
    * @return in the order of keys; never null
    */
   public List<RangeRoute> routes() {
+    return routes(range -> 0);
+  }
+
+  /**
+   * Returns where requests go now, and marks it as known.
+   *
+   * @param refusedPercent which part of the requests for a range gateways refuse; not null
+   * @return in the order of keys; never null
+   */
+  public List<RangeRoute> routes(ToIntFunction<KeyRange> refusedPercent) {
     routesChanged = false;
     List<RangeRoute> routes = new ArrayList<>();
     for (HeldRange held : ranges) {
       KeyRange range = held.range();
+      int refused = refusedPercent.applyAsInt(range);
       RangeRoute last = routes.isEmpty() ? null : routes.get(routes.size() - 1);
       boolean joins =
-          last != null && last.owner().equals(held.owner()) && last.open() == held.isOpen();
+          last != null
+              && last.owner().equals(held.owner())
+              && last.open() == held.isOpen()
+              && last.refusedPercent() == refused;
       int first = joins ? last.firstKey() : range.first();
-      RangeRoute route = new RangeRoute(first, range.last(), held.owner(), held.isOpen());
+      RangeRoute route = new RangeRoute(first, range.last(), held.owner(), held.isOpen(), refused);
       if (joins) {
         routes.set(routes.size() - 1, route);
       } else {
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/RangeRoutes.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/RangeRoutes.java
@@ -63,7 +63,7 @@
 
   private static void addPart(List<RangeRoute> parts, RangeRoute whole, int first, int last) {
     if (first <= last) {
-      parts.add(new RangeRoute(first, last, whole.owner(), whole.open()));
+      parts.add(new RangeRoute(first, last, whole.owner(), whole.open(), whole.refusedPercent()));
     }
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/RangeRoutesTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/RangeRoutesTest.java
@@ -29,6 +29,7 @@
         RangeRoute found = find(known, key);
         assertThat(found.owner()).isEqualTo(expected.owner());
         assertThat(found.open()).isEqualTo(expected.open());
+        assertThat(found.refusedPercent()).isEqualTo(expected.refusedPercent());
       }
       assertThat(sizes(known)).isEqualTo(KEYS);
     }
@@ -61,7 +62,9 @@
     int first = 0;
     while (first < KEYS) {
       int last = Math.min(KEYS - 1, first + random.nextInt(12));
-      routes.add(new RangeRoute(first, last, random.nextBoolean() ? A : B, random.nextBoolean()));
+      TargetId owner = random.nextBoolean() ? A : B;
+      int refused = 50 * random.nextInt(2);
+      routes.add(new RangeRoute(first, last, owner, random.nextBoolean(), refused));
       first = last + 1;
     }
     return routes;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -305,7 +305,7 @@
     long nowMs = clock.nowMs();
     state.current().configuration().ifPresent(this::addServices);
     for (ServiceDuties service : duties.values()) {
-      service.plan(follower.register(), nowMs);
+      service.plan(follower.register(), state.current().processes(), nowMs);
     }
     boolean outage = termLease.isOutage();
     duties.values().forEach(service -> service.desk().setOutage(outage));
@@ -316,7 +316,7 @@
         sender.send(service.desk(), order);
       }
     }
-    if (duties.values().stream().anyMatch(service -> service.desk().routesChanged())) {
+    if (duties.values().stream().anyMatch(ServiceDuties::routesChanged)) {
       tellRoutesAtPace(nowMs);
     }
   }
@@ -422,7 +422,7 @@
     duties.forEach(
         (id, service) -> {
           if (service.desk().isPartitioned()) {
-            services.add(new ServiceRanges(id, service.desk().routes()));
+            services.add(new ServiceRanges(id, service.routes()));
           }
         });
     routesVersion++;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.balance.BalancerSettings;
 import io.cuminvalve.core.balance.HotKeyPlacement;
 import io.cuminvalve.core.balance.KeyLoads;
+import io.cuminvalve.core.balance.OverloadPolicy;
 import io.cuminvalve.core.balance.RangeBalancer;
 import io.cuminvalve.core.balance.RangeMove;
 import io.cuminvalve.core.balance.RangeTidier;
@@ -14,6 +15,7 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.KeyRange;
 import io.cuminvalve.core.lease.LeaseDesk;
+import io.cuminvalve.core.lease.RangeRoute;
 import io.cuminvalve.core.protocol.KeyLoadReport;
 import io.cuminvalve.core.protocol.TargetTime;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -62,6 +64,9 @@
 
   private static final double HEAVY_LOAD = 0.4;
 
+  /** Requests that a target takes at once for each of its slots, those in its queue included. */
+  private static final int QUEUED_PER_SLOT = 5;
+
   private final ServiceId service;
   private final LeaseDesk desk;
   private final DecisionLog log;
@@ -70,8 +75,11 @@
   private final Set<TargetId> busy = new HashSet<>();
   private final HotKeyPlacement hotKeys = new HotKeyPlacement();
   private final RangeTidier tidier = new RangeTidier();
+  private final OverloadPolicy overload = new OverloadPolicy();
   private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
   private final long startedMs;
+  private Map<KeyRange, Integer> refusedPercent = Map.of();
+  private boolean refusalsChanged;
   private int lastTargetCount;
   private long targetsChangedMs;
   private long balancedMs;
@@ -92,6 +100,17 @@
     return desk;
   }
 
+  /** Tells whether gateways have to hear of {@link #routes()}. */
+  boolean routesChanged() {
+    return refusalsChanged || desk.routesChanged();
+  }
+
+  /** Returns where requests go now, and marks it as told. */
+  List<RangeRoute> routes() {
+    refusalsChanged = false;
+    return desk.routes(range -> refusedPercent.getOrDefault(range, 0));
+  }
+
   void onKeyWork(KeyLoadReport report) {
     int count = Math.min(report.keys().length, report.workMs().length);
     for (int i = 0; i < count; i++) {
@@ -109,7 +128,7 @@
     }
   }
 
-  void plan(TargetRegister register, long nowMs) {
+  void plan(TargetRegister register, int gateways, long nowMs) {
     List<FleetTarget> ready = new ArrayList<>(register.of(service));
     ready.removeIf(target -> !target.isReady());
     if (ready.size() != lastTargetCount) {
@@ -128,7 +147,20 @@
       balancedMs = nowMs;
       loads.decay(nowMs);
       desk.joinNeighbours(nowMs);
-      balance(ready, nowMs);
+      List<TargetLoad> targets = targetLoads(ready, nowMs);
+      balance(targets, nowMs);
+      refuseExcess(targets, gateways);
+    }
+  }
+
+  /** In a narrow fleet each gateway's own limit protects the targets, and needs no report. */
+  private void refuseExcess(List<TargetLoad> targets, int gateways) {
+    int mostSlots = targets.stream().mapToInt(TargetLoad::slots).max().orElse(0);
+    boolean wide = gateways > mostSlots * QUEUED_PER_SLOT;
+    Map<KeyRange, Integer> next = wide ? overload.refusedPercent(targets, loads) : Map.of();
+    if (!next.equals(refusedPercent)) {
+      refusedPercent = next;
+      refusalsChanged = true;
     }
   }
 
@@ -188,8 +220,7 @@
     return parts;
   }
 
-  private void balance(List<FleetTarget> ready, long nowMs) {
-    List<TargetLoad> targets = targetLoads(ready, nowMs);
+  private void balance(List<TargetLoad> targets, long nowMs) {
     noteBusyTargets(targets);
     List<RangeMove> moves = hotKeys.plan(targets, loads, speeds).map(List::of).orElse(List.of());
     if (moves.isEmpty()) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -36,8 +36,17 @@
   /** Requests that all gateways together may have at a target, for each of its slots. */
   private static final int REQUESTS_PER_SLOT = 6;
 
-  /** A target in another data centre counts as this many times slower; pays for the bytes. */
-  private static final double REMOTE_COST = 1.6;
+  /**
+   * A target in another data centre counts as this many times slower, for a small request: enough
+   * to stay at home if nothing else speaks for either.
+   */
+  private static final double REMOTE_COST = 1.25;
+
+  /**
+   * Bytes between data centres are paid for: a body of this size doubles that cost. An upload of 60
+   * KB that crosses costs a fifth of what its answer is worth.
+   */
+  private static final double REMOTE_BODY_BYTES = 40_000;
 
   /** Costs differ by up to this share at random, so that gateways do not all choose the same. */
   private static final double SPREAD = 0.2;
@@ -78,6 +87,23 @@
     slot.ifPresent(wish::placed);
   }
 
+  /** Tells whether a request has to be refused at once: its owner cannot bear all of its kind. */
+  boolean turnsAway(PlacementWish wish) {
+    if (wish.key().isEmpty()) {
+      return false;
+    }
+    int refusedPercent =
+        state
+            .current()
+            .owners(wish.service())
+            .flatMap(owners -> owners.find(wish.key().getAsInt()))
+            .map(RangeRoute::refusedPercent)
+            .orElse(0);
+    synchronized (this) {
+      return refusedPercent > 0 && random.nextInt(100) < refusedPercent;
+    }
+  }
+
   /** Withdraws a request that waits. Tells whether it did. */
   synchronized boolean withdraw(PlacementWish wish) {
     PriorityQueue<PlacementWish> queue = waiting.get(wish.service());
@@ -217,7 +243,7 @@
         continue;
       }
       double cost = slotsOf(target, snapshot).cost(target.slots());
-      cost *= target.dataCentre().equals(dataCentre) ? 1 : REMOTE_COST;
+      cost *= target.dataCentre().equals(dataCentre) ? 1 : remoteCost(wish);
       cost *= 1 + SPREAD * random.nextDouble();
       if (cost < bestCost) {
         best = target;
@@ -227,6 +253,10 @@
     return Optional.ofNullable(best);
   }
 
+  private static double remoteCost(PlacementWish wish) {
+    return REMOTE_COST + wish.bodyBytes() / REMOTE_BODY_BYTES;
+  }
+
   /** Targets tried before and those in a pause; none of them if there is no other. */
   private Set<TargetId> skippedBy(PlacementWish wish, RoutingSnapshot snapshot) {
     long nowMs = clock.nowMs();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -53,7 +53,9 @@
     this.services = services;
     this.call = call;
     this.onEnded = onEnded;
-    this.wish = new PlacementWish(call.route(), call.service(), call.key(), this::onPlaced);
+    this.wish =
+        new PlacementWish(
+            call.route(), call.service(), call.key(), call.body().length, this::onPlaced);
   }
 
   void start() {
@@ -61,7 +63,12 @@
     call.watchCaller(this::onCallerGone);
     long nowMs = services.clock().nowMs();
     deadline = services.timers().schedule(this::onDeadline, Math.max(0, call.deadlineMs() - nowMs));
-    seekSlot();
+    if (services.dispatcher().turnsAway(wish)) {
+      countUnservedWork();
+      giveUp("overload_busy");
+    } else {
+      seekSlot();
+    }
   }
 
   private long patienceMs() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
@@ -15,16 +15,19 @@
   private final Route route;
   private final ServiceId service;
   private final OptionalInt key;
+  private final int bodyBytes;
   private final Consumer<Slot> onPlaced;
   private final Set<TargetId> tried = new HashSet<>();
   private long order;
   private OwnersVersion placedUnder = OwnersVersion.NONE;
   private Optional<OwnersVersion> avoided = Optional.empty();
 
-  PlacementWish(Route route, ServiceId service, OptionalInt key, Consumer<Slot> onPlaced) {
+  PlacementWish(
+      Route route, ServiceId service, OptionalInt key, int bodyBytes, Consumer<Slot> onPlaced) {
     this.route = route;
     this.service = service;
     this.key = key;
+    this.bodyBytes = bodyBytes;
     this.onPlaced = onPlaced;
   }
 
@@ -40,6 +43,11 @@
     return key;
   }
 
+  /** Returns the size of the body; bytes. */
+  int bodyBytes() {
+    return bodyBytes;
+  }
+
   Set<TargetId> tried() {
     return tried;
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.Range;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.id.DataCentreId;
@@ -39,6 +40,16 @@
     assertThat(slots.get(0).target().id()).isEqualTo(NEAR);
   }
 
+  @Test
+  void largeBodiesStayLongerThanSmallOnes() {
+    targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
+    submit("one", 1, OptionalInt.empty(), 100_000);
+    submit("two", 1, OptionalInt.empty(), 100_000);
+    assertThat(slots.get(1).target().id()).isEqualTo(NEAR);
+    submit("small", 1, OptionalInt.empty(), 100);
+    assertThat(slots.get(2).target().id()).isEqualTo(FAR);
+  }
+
   @Test
   void theOwnerOfTheKeyGetsItAsSoonAsItHasItsLease() {
     targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
@@ -85,6 +96,20 @@
     assertThat(placed).isEmpty();
   }
 
+  @Test
+  void thePartThatTheOwnerCannotBearIsTurnedAway() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    KeyOwners owners = new KeyOwners(List.of(new RangeRoute(0, 65_535, NEAR, true, 40)));
+    state.update(s -> s.withOwners(Map.of(SERVICE, owners), new OwnersVersion(1, 1)));
+    PlacementWish keyed = wish("one", 1, OptionalInt.of(7), 0);
+    int turnedAway = 0;
+    for (int i = 0; i < 1_000; i++) {
+      turnedAway += dispatcher.turnsAway(keyed) ? 1 : 0;
+    }
+    assertThat(turnedAway).isIn(Range.closed(340, 460));
+    assertThat(dispatcher.turnsAway(wish("two", 1, OptionalInt.empty(), 0))).isFalse();
+  }
+
   private void fill() {
     int waiting = dispatcher.waitingCount();
     while (dispatcher.waitingCount() == waiting) {
@@ -93,6 +118,16 @@
   }
 
   private PlacementWish submit(String name, int priority, OptionalInt key) {
+    return submit(name, priority, key, 0);
+  }
+
+  private PlacementWish submit(String name, int priority, OptionalInt key, int bodyBytes) {
+    PlacementWish wish = wish(name, priority, key, bodyBytes);
+    dispatcher.submit(wish);
+    return wish;
+  }
+
+  private PlacementWish wish(String name, int priority, OptionalInt key, int bodyBytes) {
     Route route =
         new Route(
             name,
@@ -104,17 +139,15 @@
             priority,
             List.of(new WeightedService(SERVICE, 1)),
             2);
-    PlacementWish wish =
-        new PlacementWish(
-            route,
-            SERVICE,
-            key,
-            slot -> {
-              placed.add(name);
-              slots.add(slot);
-            });
-    dispatcher.submit(wish);
-    return wish;
+    return new PlacementWish(
+        route,
+        SERVICE,
+        key,
+        bodyBytes,
+        slot -> {
+          placed.add(name);
+          slots.add(slot);
+        });
   }
 
   private void targets(FleetTarget... targets) {
