Decide requests in core; settle once whether an attempt is handed over

Cause: found on reading. At the deadline the exchange asked whether the attempt had been handed over, answered 503 if not, and then ended the attempt. Between the question and the end another thread could hand the request over: a false 'not run'. The window is a few instructions, on a processor that switches threads anywhere.

Change: one atomic step decides between handing over and preventing it.

--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeMachineTest.java
@@ -0,0 +1,175 @@
+package io.cuminvalve.core.exchange;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class ExchangeMachineTest {
+
+  private static final long DEADLINE_MS = 1_000;
+
+  private int budget = 10;
+
+  @Test
+  void theAnswerIsRelayed() {
+    ExchangeMachine machine = machine(false, true);
+    assertThat(machine.onStart(false, 0)).containsExactly(new ExchangeEffect.SeekSlot(70));
+    assertThat(machine.onSlot()).containsExactly(new ExchangeEffect.Send());
+    assertThat(machine.onAnswer(200, 100)).containsExactly(new ExchangeEffect.Relay(false));
+  }
+
+  @Test
+  void whoFindsNoSlotIsToldWhenToComeBack() {
+    ExchangeMachine machine = machine(true, true);
+    machine.onStart(false, 0);
+    assertThat(machine.onNoSlot("owner_busy"))
+        .containsExactly(new ExchangeEffect.Refuse(500, "owner_busy"));
+    ExchangeMachine other = machine(true, true);
+    other.onStart(false, 0);
+    assertThat(other.onNoSlot("key_on_the_move"))
+        .containsExactly(new ExchangeEffect.Refuse(250, "key_on_the_move"));
+  }
+
+  @Test
+  void theOneTurnedAwayIsNeverOffered() {
+    assertThat(machine(true, true).onStart(true, 0))
+        .containsExactly(new ExchangeEffect.Refuse(500, "overload_busy"));
+  }
+
+  @Test
+  void whatMayHaveRunRunsAgainOnlyIfIdempotent() {
+    ExchangeMachine once = sent(false, false);
+    assertThat(once.onFailure(true, "reset", 50))
+        .containsExactly(new ExchangeEffect.GiveUp(false, "reset"));
+    ExchangeMachine often = sent(true, false);
+    assertThat(often.onFailure(true, "reset", 50))
+        .containsExactly(new ExchangeEffect.AvoidTarget(), new ExchangeEffect.SeekSlot(40))
+        .inOrder();
+  }
+
+  @Test
+  void itRunsOnNoMoreTargetsThanAllowed() {
+    ExchangeMachine machine = sent(true, false);
+    machine.onFailure(true, "reset", 10);
+    machine.onSlot();
+    assertThat(machine.onFailure(true, "reset", 20))
+        .containsExactly(new ExchangeEffect.GiveUp(false, "reset"));
+    assertThat(machine.runs()).isEqualTo(2);
+  }
+
+  @Test
+  void proofsThatItDidNotRunAllowAnotherTarget() {
+    ExchangeMachine machine = sent(false, true);
+    assertThat(machine.onNotExecuted(10))
+        .containsExactly(new ExchangeEffect.AwaitNewerOwners(40), new ExchangeEffect.SeekSlot(60))
+        .inOrder();
+    machine.onSlot();
+    assertThat(machine.onAnswer(200, 90)).containsExactly(new ExchangeEffect.Relay(false));
+  }
+
+  @Test
+  void manyProofsEndIt() {
+    ExchangeMachine machine = sent(false, true);
+    for (int i = 0; i < 3; i++) {
+      assertThat(machine.onNotExecuted(10)).hasSize(2);
+      machine.onSlot();
+    }
+    assertThat(machine.onNotExecuted(10))
+        .containsExactly(new ExchangeEffect.Refuse(250, "refused_by_target"));
+  }
+
+  @Test
+  void withoutBudgetNothingIsRepeated() {
+    budget = 0;
+    assertThat(sent(true, false).onFailure(true, "reset", 10))
+        .containsExactly(new ExchangeEffect.GiveUp(false, "reset"));
+    assertThat(sent(true, false).onNotExecuted(10))
+        .containsExactly(new ExchangeEffect.Refuse(250, "refused_by_target"));
+  }
+
+  @Test
+  void withoutTimeNothingIsRepeated() {
+    assertThat(sent(true, false).onFailure(true, "reset", DEADLINE_MS - 40))
+        .containsExactly(new ExchangeEffect.GiveUp(false, "reset"));
+  }
+
+  @Test
+  void attemptsThatWereNotSentNeedNoBudget() {
+    budget = 0;
+    assertThat(sent(false, false).onFailure(false, "refused", 10)).hasSize(2);
+  }
+
+  @Test
+  void anErrorOfTargetsWithoutKeysIsTriedElsewhere() {
+    assertThat(sent(true, false).onAnswer(500, 10)).contains(new ExchangeEffect.AvoidTarget());
+    assertThat(sent(true, true).onAnswer(500, 10)).containsExactly(new ExchangeEffect.Relay(true));
+    assertThat(sent(false, false).onAnswer(503, 10))
+        .containsExactly(new ExchangeEffect.Relay(true));
+  }
+
+  @Test
+  void atTheDeadlineTheAnswerGoesOutAtOnce() {
+    assertThat(sent(true, true).onDeadline(true))
+        .containsExactly(
+            new ExchangeEffect.StopSeeking(),
+            new ExchangeEffect.GiveUp(true, "timeout"),
+            new ExchangeEffect.Abandon(true))
+        .inOrder();
+    assertThat(sent(true, true).onDeadline(false))
+        .containsExactly(
+            new ExchangeEffect.StopSeeking(),
+            new ExchangeEffect.Refuse(250, "timeout_unsent"),
+            new ExchangeEffect.Abandon(true))
+        .inOrder();
+    ExchangeMachine waiting = machine(true, true);
+    waiting.onStart(false, 0);
+    assertThat(waiting.onDeadline(false))
+        .containsExactly(
+            new ExchangeEffect.StopSeeking(), new ExchangeEffect.Refuse(250, "timeout_unsent"))
+        .inOrder();
+  }
+
+  @Test
+  void theDeadlineDoesNotForgetAnEarlierRun() {
+    ExchangeMachine machine = sent(true, false);
+    machine.onFailure(true, "reset", 10);
+    assertThat(machine.onDeadline(false)).contains(new ExchangeEffect.GiveUp(true, "timeout"));
+  }
+
+  @Test
+  void theCallerThatLeavesEndsTheAttempt() {
+    assertThat(sent(true, true).onCallerGone())
+        .containsExactly(
+            new ExchangeEffect.StopSeeking(),
+            new ExchangeEffect.Abandon(false),
+            new ExchangeEffect.Drop())
+        .inOrder();
+  }
+
+  @Test
+  void nothingFollowsTheFinalAnswer() {
+    ExchangeMachine machine = sent(true, true);
+    machine.onDeadline(true);
+    assertThat(machine.onAnswer(200, 2_000)).isEmpty();
+    assertThat(machine.onNotExecuted(2_000)).isEmpty();
+    assertThat(machine.onFailure(true, "reset", 2_000)).isEmpty();
+    assertThat(machine.onNoSlot("owner_busy")).isEmpty();
+    assertThat(machine.onCallerGone()).isEmpty();
+    assertThat(machine.onDeadline(true)).isEmpty();
+    assertThat(machine.onSlot()).containsExactly(new ExchangeEffect.ReturnSlot());
+  }
+
+  private ExchangeMachine sent(boolean idempotent, boolean keyed) {
+    ExchangeMachine machine = machine(idempotent, keyed);
+    machine.onStart(false, 0);
+    List<ExchangeEffect> effects = machine.onSlot();
+    assertThat(effects).containsExactly(new ExchangeEffect.Send());
+    return machine;
+  }
+
+  private ExchangeMachine machine(boolean idempotent, boolean keyed) {
+    ExchangeProfile profile = new ExchangeProfile(idempotent, keyed, 2, 400, 0, DEADLINE_MS);
+    return new ExchangeMachine(profile, () -> budget-- > 0);
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -47,6 +47,7 @@
   private final Slot slot;
   private final Listener listener;
   private final TargetExchange exchange;
+  private final Handover handover = new Handover();
   private final AtomicBoolean released = new AtomicBoolean();
   private final AtomicBoolean ended = new AtomicBoolean();
   private volatile AttemptEnd end = AttemptEnd.GIVEN_UP;
@@ -108,8 +109,9 @@
     exchange.abandon(reason);
   }
 
-  boolean isHandedOver() {
-    return exchange.isHandedOver();
+  /** Makes sure that the target never gets the request. Tells whether that still was possible. */
+  boolean preventHandover() {
+    return handover.prevent();
   }
 
   @Override
@@ -120,7 +122,7 @@
       return false;
     }
     headers.put(services.headers().deadlineMs(), remainingMs);
-    return true;
+    return handover.begin();
   }
 
   @Override
