--- a/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/ControlThread.java
+++ b/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/ControlThread.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
@@ -18,7 +19,7 @@
 
   private final String name;
   private final FailureHandler failureHandler;
-  private final ScheduledThreadPoolExecutor executor;
+  private final ScheduledExecutorService executor;
 
   /**
    * Creates the thread.
@@ -27,11 +28,30 @@
    * @param failureHandler called for each task that throws; not null
    */
   public ControlThread(String name, FailureHandler failureHandler) {
+    this(name, failureHandler, newExecutor(name));
+  }
+
+  /**
+   * Creates a control thread on an executor that runs one task at a time, for tests on virtual
+   * time.
+   *
+   * @param name the name of the thread; not null
+   * @param failureHandler called for each task that throws; not null
+   * @param executor runs the tasks; shut down by {@link #close()}; not null
+   */
+  public ControlThread(
+      String name, FailureHandler failureHandler, ScheduledExecutorService executor) {
     this.name = name;
     this.failureHandler = failureHandler;
-    this.executor = new ScheduledThreadPoolExecutor(1, NamedThreads.daemon(name));
+    this.executor = executor;
+  }
+
+  private static ScheduledExecutorService newExecutor(String name) {
+    ScheduledThreadPoolExecutor executor =
+        new ScheduledThreadPoolExecutor(1, NamedThreads.daemon(name));
     executor.setRemoveOnCancelPolicy(true);
     executor.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    return executor;
   }
 
   /**
