--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchedStore.java
@@ -0,0 +1,114 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.store.LeaseResult;
+import io.cuminvalve.ports.store.ReadResult;
+import io.cuminvalve.ports.store.StoreLeaseId;
+import io.cuminvalve.ports.store.StoreOutcome;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.ports.store.WatchResult;
+import io.cuminvalve.ports.store.WriteResult;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A store with one key that answers waiting calls when it changes, unless they fell silent. */
+final class WatchedStore implements KeyValueStore {
+
+  private record Waiting(long afterRevision, CompletableFuture<WatchResult> answer) {}
+
+  private Optional<StoreValue> value = Optional.empty();
+  private final List<Waiting> waiting = new ArrayList<>();
+  private final List<Long> waits = new ArrayList<>();
+  private boolean available = true;
+  private long revision;
+
+  /** Writes the key. */
+  void put(byte... bytes) {
+    revision++;
+    value = Optional.of(new StoreValue(bytes, revision));
+    answer();
+  }
+
+  /** Removes the key. */
+  void remove() {
+    revision++;
+    value = Optional.empty();
+    answer();
+  }
+
+  /** The connections of calls that wait now carry nothing any more; nobody is told. */
+  void silenceWaitingCalls() {
+    waiting.clear();
+  }
+
+  /** Refuses every call, or no longer. */
+  void setAvailable(boolean now) {
+    available = now;
+  }
+
+  /** Returns how long each call so far was ready to wait; milliseconds. */
+  List<Long> waits() {
+    return waits;
+  }
+
+  private void answer() {
+    List<Waiting> due = List.copyOf(waiting);
+    waiting.clear();
+    due.forEach(call -> call.answer().complete(result()));
+  }
+
+  private WatchResult result() {
+    return value
+        .map(known -> new WatchResult(WatchResult.Event.CHANGED, Optional.of(known)))
+        .orElse(new WatchResult(WatchResult.Event.ABSENT, Optional.empty()));
+  }
+
+  @Override
+  public CompletableFuture<WatchResult> watch(String key, long afterRevision, long waitMs) {
+    waits.add(waitMs);
+    if (!available) {
+      return CompletableFuture.completedFuture(
+          new WatchResult(WatchResult.Event.UNAVAILABLE, Optional.empty()));
+    }
+    boolean changed = value.map(known -> known.revision() > afterRevision).orElse(true);
+    if (changed) {
+      return CompletableFuture.completedFuture(result());
+    }
+    CompletableFuture<WatchResult> answer = new CompletableFuture<>();
+    waiting.add(new Waiting(afterRevision, answer));
+    return answer;
+  }
+
+  @Override
+  public CompletableFuture<ReadResult> read(String key) {
+    return CompletableFuture.completedFuture(new ReadResult(StoreOutcome.DONE, value));
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> write(
+      String key, byte[] bytes, long expectedRevision, Optional<StoreLeaseId> lease) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> createLease(long ttlMs) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<StoreOutcome> keepAlive(StoreLeaseId lease) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<StoreOutcome> endLease(StoreLeaseId lease) {
+    throw new UnsupportedOperationException();
+  }
+}
