Name the target in every order, so that the next run at its address refuses it

Cause: orders went to an address; after a crash the next run there took the renewal of the ended run for its own grant, under the same token. Change: orders carry the target's id; a target that is another one refuses, which proves that the one meant has ended (OTHER_TARGET).

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -180,7 +180,7 @@
         stale = true;
         granted = false;
       }
-      case REJECTED -> granted = false;
+      case REJECTED, OTHER_TARGET -> granted = false;
       default -> {
         // Nothing was sent: the lease runs on as it is.
       }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -304,6 +304,7 @@
    * @param nowMs the time; milliseconds
    */
   public void onGrantEnded(LeaseOrder.Grant order, OrderOutcome outcome, long sentMs, long nowMs) {
+    noteEnded(order, outcome);
     long nextMs = outcome == OrderOutcome.DONE ? sentMs + renewMs() : nowMs + timings.retryMs();
     for (HeldRange held : ranges) {
       if (!order.range().contains(held.range())) {
@@ -331,6 +332,7 @@
    */
   public void onReleaseEnded(
       LeaseOrder.Release order, OrderOutcome outcome, Optional<String> handover, long nowMs) {
+    noteEnded(order, outcome);
     long nextMs = nowMs + timings.retryMs();
     for (HeldRange held : ranges) {
       if (!order.range().contains(held.range()) || held.token() != order.token()) {
@@ -347,6 +349,12 @@
     }
   }
 
+  private void noteEnded(LeaseOrder order, OrderOutcome outcome) {
+    if (outcome == OrderOutcome.OTHER_TARGET) {
+      onGone(order.target());
+    }
+  }
+
   /**
    * Tells whether a target knows a higher token than the one in use.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -136,6 +136,7 @@
             clock,
             log,
             id -> Optional.ofNullable(lastAddresses.get(id)),
+            this::onReplacedTarget,
             this::actSoon);
   }
 
@@ -170,7 +171,14 @@
     } else if (report instanceof TargetTimesReport times) {
       times.times().forEach(this::onTargetTime);
     } else if (report instanceof TargetReplaced replaced) {
-      onReplaced(replaced.target());
+      onReplacedTarget(replaced.target());
+    }
+  }
+
+  /** Another target answers at the address of this one: it has ended, whatever is registered. */
+  private void onReplacedTarget(TargetId id) {
+    if (!ended.contains(id)) {
+      onReplaced(id);
       onTargets();
     }
   }
@@ -209,7 +217,6 @@
             });
   }
 
-  /** A gateway met another target at the address of this one. */
   private void onReplaced(TargetId id) {
     if (ended.add(id)) {
       log.write("target_replaced", "target={}", id);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /** Sends the orders of a desk to the targets and brings the answers back. */
@@ -29,6 +30,7 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final Function<TargetId, Optional<String>> addresses;
+  private final Consumer<TargetId> onOtherTarget;
   private final Runnable onAnswered;
   private final Map<TargetId, Integer> inFlight = new HashMap<>();
   private int totalInFlight;
@@ -40,12 +42,14 @@
       MillisClock clock,
       DecisionLog log,
       Function<TargetId, Optional<String>> addresses,
+      Consumer<TargetId> onOtherTarget,
       Runnable onAnswered) {
     this.leases = leases;
     this.control = control;
     this.clock = clock;
     this.log = log;
     this.addresses = addresses;
+    this.onOtherTarget = onOtherTarget;
     this.onAnswered = onAnswered;
   }
 
@@ -100,6 +104,9 @@
       logOrder("release_ended", order, reply, nowMs - sentMs);
       desk.onReleaseEnded(release, reply.outcome(), reply.handover(), nowMs);
     }
+    if (reply.outcome() == OrderOutcome.OTHER_TARGET) {
+      onOtherTarget.accept(order.target());
+    }
     onAnswered.run();
   }
 
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.kernel.ManagedService;
 import java.net.ConnectException;
 import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -100,7 +101,29 @@
    */
   public CompletableFuture<HttpAnswer> call(
       String method, String url, String contentType, byte[] body, long timeoutMs) {
+    return call(method, url, Map.of(), contentType, body, timeoutMs);
+  }
+
+  /**
+   * Makes a call with headers and a body.
+   *
+   * @param method the HTTP method; not null
+   * @param url where to; not null
+   * @param headers by name, besides those that every call has; not null
+   * @param contentType the media type of the body; not null
+   * @param body the body; not null
+   * @param timeoutMs bound on the whole call; milliseconds
+   * @return never null
+   */
+  public CompletableFuture<HttpAnswer> call(
+      String method,
+      String url,
+      Map<String, String> headers,
+      String contentType,
+      byte[] body,
+      long timeoutMs) {
     Request request = client.newRequest(url).method(method);
+    request.headers(fields -> headers.forEach(fields::put));
     return send(request.body(new BytesRequestContent(contentType, body)), timeoutMs);
   }
 
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/LeaseControl.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/LeaseControl.java
@@ -6,7 +6,10 @@
 /**
  * Port to the targets, to grant and release leases of key ranges.
  *
- * <p>Every future completes normally, within a bounded time.
+ * <p>Every future completes normally, within a bounded time. An order names its target: another one
+ * that has its address by now must not carry it out, and says so. Without that, the next run at the
+ * address would take a renewal of the run before for a grant of its own, under a token that the run
+ * before had.
  *
  * @since 0.2
  */
