Bound every wait at the store by what hangs on it; let the holder confirm and tell

Cause: a wait for the next change may hang for 30 s on a connection that fell silent without a sign; nothing looked at how long it had been silent. The wait for the term hung the same way, so the vacancy of the term, or the next holder, could stay unknown for as long. Change: KeyFollower follows a key with a bound on the age of its knowledge, for the configuration and for the term: long waits only while the holder confirms (beats tell revision and age), short ones otherwise, an overdue one is taken up anew on another connection. The holder tells a changed revision at once, and sends the configuration to a gateway that still lacks it a second later. Gauge of the configuration's age, event watch_renewed. FleetPace holds what FleetLink and the bounds share.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
@@ -6,6 +6,17 @@
  * @param term the holder's term
  * @param processes how many processes said hello lately, the holder included
  * @param registryAgeMs how old the holder's knowledge of the targets is; milliseconds
+ * @param termAgeMs when the store last confirmed the term, before now; milliseconds
+ * @param configurationRevision the store's revision of the configuration that the holder knows; 0
+ *     if it knows none
+ * @param configurationAgeMs how old that knowledge is; milliseconds
  * @since 0.2
  */
-public record FleetBeat(long term, int processes, long registryAgeMs) implements FleetMessage {}
+public record FleetBeat(
+    long term,
+    int processes,
+    long registryAgeMs,
+    long termAgeMs,
+    long configurationRevision,
+    long configurationAgeMs)
+    implements FleetMessage {}
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -9,8 +9,14 @@
  * @param targetsVersion the version of the targets that it knows
  * @param routesTerm the term under which it learned of the owners; 0 if it knows none
  * @param routesVersion the version of the owners that it knows
+ * @param configurationRevision the store's revision of the configuration that it knows; 0 if none
  * @since 0.2
  */
 public record FleetHello(
-    String process, long targetsTerm, long targetsVersion, long routesTerm, long routesVersion)
+    String process,
+    long targetsTerm,
+    long targetsVersion,
+    long routesTerm,
+    long routesVersion,
+    long configurationRevision)
     implements FleetMessage {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -61,6 +61,10 @@
         "cuminvalve_configuration_version",
         "Version of the configuration in force; 0 if there is none.",
         () -> state.current().configuration().map(RoutingConfiguration::version).orElse(0L));
+    page.addGauge(
+        "cuminvalve_configuration_age_seconds",
+        "For how long neither the store nor the holder has confirmed the configuration.",
+        () -> fleet.configurationAgeMs() / MS_PER_SECOND);
     page.addGauge("cuminvalve_targets", "Targets known.", () -> state.current().targets().size());
     page.addGauge(
         "cuminvalve_targets_age_seconds",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -6,35 +6,42 @@
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.ports.store.WatchResult;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Keeps the newest configuration in force, and never an older one after it.
  *
- * <p>Every gateway waits at the store itself: changes are rare, so one waiting call costs little,
- * and nobody has to be trusted to pass them on. A configuration that cannot be read leaves the last
- * good one in force.
+ * <p>Every gateway waits at the store itself; the holder of the term confirms that it missed
+ * nothing, or tells what it missed. A configuration that cannot be read leaves the last good one in
+ * force. All methods are for the control thread.
  *
  * @since 0.2
  */
 public final class ConfigurationWatch {
 
-  /** How long one call waits; the longest that the store allows. */
-  private static final long WAIT_MS = 30_000;
-
   /** Pause after a call that failed: short, since a change has to be in force within 2 s. */
   private static final long RETRY_MS = 150;
 
+  /**
+   * A gateway that still lacks a configuration so long after this one has had it is sent it:
+   * several times what the store takes, and half of the time in which it has to be in force.
+   */
+  private static final long LAG_MS = 1_000;
+
   private final GatewayPorts ports;
   private final RoutingState state;
-  private final ControlThread control;
+  private final MillisClock clock;
   private final DecisionLog log;
-  private long revision;
+  private final KeyFollower follower;
+  private final Consumer<StoreValue> onInForce;
   private boolean connected = true;
-  private boolean closed;
   private Optional<StoreValue> newest = Optional.empty();
+  private long newestSinceMs;
 
   /**
    * Creates a watch that does nothing yet.
@@ -42,29 +49,44 @@
    * @param ports the store and the decoder; not null
    * @param state where the configuration goes; not null
    * @param control the thread that owns the state; not null
+   * @param clock the time; not null
    * @param log takes decisions; not null
+   * @param maxAgeMs how old knowledge that the holder confirms may be; milliseconds; not null
+   * @param onInForce hears of each configuration that is in force from now on; not null
    */
   public ConfigurationWatch(
-      GatewayPorts ports, RoutingState state, ControlThread control, DecisionLog log) {
+      GatewayPorts ports,
+      RoutingState state,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      LongSupplier maxAgeMs,
+      Consumer<StoreValue> onInForce) {
     this.ports = ports;
     this.state = state;
-    this.control = control;
+    this.clock = clock;
     this.log = log;
+    this.onInForce = onInForce;
+    this.follower =
+        new KeyFollower(
+            ports.store(),
+            ports.configurationKey(),
+            control,
+            clock,
+            log,
+            RETRY_MS,
+            maxAgeMs,
+            this::onResult);
   }
 
-  /** Starts to watch. For the control thread. */
+  /** Starts to watch. */
   public void start() {
-    if (!closed) {
-      ports
-          .store()
-          .watch(ports.configurationKey(), revision, WAIT_MS)
-          .thenAcceptAsync(this::onResult, control);
-    }
+    follower.start();
   }
 
-  /** Ends the watch. For the control thread. */
+  /** Ends the watch. */
   public void close() {
-    closed = true;
+    follower.close();
   }
 
   private void onResult(WatchResult result) {
@@ -73,23 +95,11 @@
       connected = answered;
       log.write(answered ? "store_regained" : "store_lost", "by=configuration_watch");
     }
-    result
-        .value()
-        .ifPresent(
-            value -> {
-              revision = Math.max(revision, value.revision());
-              install(value);
-            });
-    if (result.event() == WatchResult.Event.CHANGED
-        || result.event() == WatchResult.Event.UNCHANGED) {
-      start();
-    } else {
-      control.schedule(this::start, RETRY_MS);
-    }
+    result.value().ifPresent(this::install);
   }
 
   /**
-   * Returns the configuration in force, as operators wrote it. For the control thread.
+   * Returns the configuration in force, as operators wrote it.
    *
    * @return empty if none is known
    */
@@ -98,16 +108,56 @@
   }
 
   /**
-   * Takes a configuration from another gateway. For the control thread.
+   * Returns the newest revision of the configuration that is known.
+   *
+   * @return 0 if none is
+   */
+  public long revision() {
+    return follower.revision();
+  }
+
+  /**
+   * Returns for how long neither the store nor the holder has confirmed what is known.
+   *
+   * @return milliseconds
+   */
+  public long ageMs() {
+    return follower.ageMs();
+  }
+
+  /**
+   * Learns which revision another gateway knows.
+   *
+   * @param known the revision; 0 if it knows none
+   * @param atMs when the store told it so; a time of the clock; milliseconds
+   */
+  public void onHeard(long known, long atMs) {
+    follower.onHeard(known, atMs);
+  }
+
+  /**
+   * Takes a configuration from another gateway.
    *
    * @param value what that gateway knows; not null
    */
   public void onNews(StoreValue value) {
-    if (newest.isEmpty()) {
+    if (value.revision() > follower.revision()) {
+      follower.onTaken(value);
       install(value);
     }
   }
 
+  /**
+   * Returns what a gateway lacks that should have it by now.
+   *
+   * @param known the newest revision that it knows
+   * @return empty if it lacks nothing, or may still learn of it by itself
+   */
+  public Optional<StoreValue> lackedBy(long known) {
+    return newest.filter(
+        value -> value.revision() > known && clock.nowMs() - newestSinceMs > LAG_MS);
+  }
+
   private void install(StoreValue value) {
     RoutingConfiguration next;
     try {
@@ -125,7 +175,9 @@
       return;
     }
     newest = Optional.of(value);
+    newestSinceMs = clock.nowMs();
     state.update(snapshot -> snapshot.withConfiguration(next));
     log.write("configuration_in_force", "version={} revision={}", next.version(), value.revision());
+    onInForce.accept(value);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.control;
 
+import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
@@ -9,6 +10,7 @@
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SharedKey;
+import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetworkSettings;
 import io.cuminvalve.wire.RecordCodec;
@@ -90,7 +92,10 @@
             control,
             clock,
             random.split());
-    this.configuration = new ConfigurationWatch(ports, state, control, log);
+    FleetPace pace = new FleetPace(state);
+    this.configuration =
+        new ConfigurationWatch(
+            ports, state, control, clock, log, pace::confirmedMs, this::onConfiguration);
     this.link =
         new FleetLink(
             network,
@@ -103,7 +108,9 @@
             settings,
             configuration,
             reports,
-            this::onReplaced);
+            pace,
+            this::onReplaced,
+            this::onBeat);
     this.termLease =
         new TermLease(
             ports.store(),
@@ -116,6 +123,7 @@
             settings.firstCandidate(),
             settings.processorCores(),
             settings.leases().holderGraceMs(),
+            pace::confirmedMs,
             this);
   }
 
@@ -127,6 +135,23 @@
     termLease.onReplaced();
   }
 
+  private void onBeat(FleetBeat beat) {
+    termLease.onHeard(beat.term(), clock.nowMs() - beat.termAgeMs());
+  }
+
+  private void onConfiguration(StoreValue value) {
+    link.tellConfiguration(value.revision());
+  }
+
+  /**
+   * Returns for how long nobody has confirmed the configuration. For any thread.
+   *
+   * @return milliseconds
+   */
+  public long configurationAgeMs() {
+    return configuration.ageMs();
+  }
+
   /** Starts. */
   public void start() {
     network.start();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.protocol.ConfigurationNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
@@ -34,6 +35,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Keeps this gateway and the holder of the term in touch.
@@ -46,21 +49,12 @@
  */
 final class FleetLink implements HolderDuties.Audience {
 
-  /** Pause between two hellos in a fleet of up to {@link #NARROW_FLEET} gateways. */
-  private static final long HELLO_MS = 300;
-
   /** Pause between two reports of load: a hot key has to be noticed within a second. */
   private static final long KEY_WORK_MS = 150;
 
-  /** In a wider fleet the pauses grow with it, so that the holder hears no more a second. */
-  private static final int NARROW_FLEET = 40;
-
   /** Pause between two reports of times: the speed of a target seldom changes. */
   private static final long TARGET_TIMES_MS = 1_000;
 
-  /** Three hellos without an answer, and some. */
-  private static final double SILENT_HELLOS = 3.2;
-
   /** What the holder knows of the targets is too old to rely on: a call, its pace and some. */
   static final long STALE_REGISTRY_MS = 1_800;
 
@@ -79,7 +73,9 @@
   private final GatewaySettings settings;
   private final FirstLook firstLook;
   private final TrafficReports reports;
+  private final FleetPace pace;
   private final Runnable onReplaced;
+  private final Consumer<FleetBeat> onHolderBeat;
   private final ConfigurationWatch configuration;
   private final long startedMs;
   private final Subscribers subscribers = new Subscribers();
@@ -103,7 +99,9 @@
       GatewaySettings settings,
       ConfigurationWatch configuration,
       TrafficReports reports,
-      Runnable onReplaced) {
+      FleetPace pace,
+      Runnable onReplaced,
+      Consumer<FleetBeat> onHolderBeat) {
     this.network = network;
     this.state = state;
     this.control = control;
@@ -113,7 +111,9 @@
     this.settings = settings;
     this.firstLook = new FirstLook(ports, control, log, codec, new FirstKnowledge());
     this.reports = reports;
+    this.pace = pace;
     this.onReplaced = onReplaced;
+    this.onHolderBeat = onHolderBeat;
     this.configuration = configuration;
     this.startedMs = clock.nowMs();
     this.heardMs = clock.nowMs();
@@ -124,9 +124,9 @@
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
     }
-    repeat(this::onPace, HELLO_MS);
-    repeat(this::reportKeyWork, KEY_WORK_MS);
-    repeat(this::reportTargetTimes, TARGET_TIMES_MS);
+    repeat(this::onPace, pace::helloMs);
+    repeat(this::reportKeyWork, () -> pace.widened(KEY_WORK_MS));
+    repeat(this::reportTargetTimes, () -> pace.widened(TARGET_TIMES_MS));
   }
 
   private void listIfUnaware() {
@@ -135,21 +135,13 @@
     }
   }
 
-  private void repeat(Runnable task, long paceMs) {
+  private void repeat(Runnable task, LongSupplier pauseMs) {
     control.schedule(
         () -> {
-          repeat(task, paceMs);
+          repeat(task, pauseMs);
           task.run();
         },
-        widened(paceMs));
-  }
-
-  private long widened(long paceMs) {
-    return paceMs * Math.max(NARROW_FLEET, state.current().processes()) / NARROW_FLEET;
-  }
-
-  private long silentMs() {
-    return (long) (widened(HELLO_MS) * SILENT_HELLOS);
+        pauseMs.getAsLong());
   }
 
   /** This gateway holds the term now, or no longer. */
@@ -192,6 +184,8 @@
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
       onBeat(beat);
+    } else if (message instanceof ConfigurationNews news) {
+      onConfigurationNews(news);
     } else if (message instanceof TargetsPush push) {
       onTargetsPush(push);
     } else if (message instanceof RoutesPush push) {
@@ -207,14 +201,14 @@
     if (duties.isPresent()) {
       askForLeasesLeft();
       state.confirmTargets(clock.nowMs() - duties.get().registryAgeMs());
-      subscribers.dropSilent(clock.nowMs(), widened(HELLO_MS));
+      subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
       return;
     }
     ownFollower.ifPresent(own -> state.confirmTargets(clock.nowMs() - own.ageMs()));
     sayHello();
     askSeeds();
-    boolean silent = clock.nowMs() - heardMs > silentMs();
+    boolean silent = clock.nowMs() - heardMs > pace.silentMs();
     if (silent && ownFollower.isEmpty()) {
       openOwnFollower();
     }
@@ -224,9 +218,7 @@
   private void askSeeds() {
     boolean lost = state.current().configuration().isEmpty() || holderAddress.isEmpty();
     if (lost && clock.nowMs() - startedMs > ASK_SEEDS_AFTER_MS) {
-      settings
-          .seedPeers()
-          .forEach(address -> network.send(address, view.hello(settings.process())));
+      settings.seedPeers().forEach(address -> network.send(address, hello()));
     }
   }
 
@@ -248,7 +240,11 @@
   }
 
   private void sayHello() {
-    holderAddress.ifPresent(address -> network.send(address, view.hello(settings.process())));
+    holderAddress.ifPresent(address -> network.send(address, hello()));
+  }
+
+  private FleetHello hello() {
+    return view.hello(settings.process(), configuration.revision());
   }
 
   private void openOwnFollower() {
@@ -287,6 +283,8 @@
       heardMs = clock.nowMs();
     }
     state.confirmTargets(clock.nowMs() - beat.registryAgeMs());
+    configuration.onHeard(beat.configurationRevision(), clock.nowMs() - beat.configurationAgeMs());
+    onHolderBeat.accept(beat);
     if (state.current().processes() != beat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, beat.processes())));
     }
@@ -310,7 +308,7 @@
   }
 
   private void installTargets() {
-    if (clock.nowMs() - heardMs <= silentMs()) {
+    if (clock.nowMs() - heardMs <= pace.silentMs()) {
       closeOwnFollower();
       List<FleetTarget> targets = view.targets().targets();
       state.update(snapshot -> snapshot.withTargets(targets));
@@ -350,6 +348,21 @@
             view.routes()));
   }
 
+  /** The configuration changed: whoever does not hear of it from the store looks again at once. */
+  void tellConfiguration(long revision) {
+    if (duties.isPresent()) {
+      subscribers.tell(new ConfigurationNews(revision, new byte[0]));
+    }
+  }
+
+  private void onConfigurationNews(ConfigurationNews news) {
+    if (news.configuration().length > 0) {
+      configuration.onNews(new StoreValue(news.configuration(), news.revision()));
+    } else {
+      configuration.onHeard(news.revision(), 0);
+    }
+  }
+
   private void onNews(FleetNews news) {
     if (news.configuration().length > 0) {
       configuration.onNews(new StoreValue(news.configuration(), news.configurationRevision()));
@@ -409,7 +422,18 @@
     }
     HolderDuties holder = duties.get();
     subscribers.onHello(sender, hello, holder.term(), view, clock.nowMs());
-    sender.send(new FleetBeat(holder.term(), subscribers.count() + 1, holder.registryAgeMs()));
+    sender.send(
+        new FleetBeat(
+            holder.term(),
+            subscribers.count() + 1,
+            holder.registryAgeMs(),
+            holder.termAgeMs(),
+            configuration.revision(),
+            configuration.ageMs()));
+    configuration.onHeard(hello.configurationRevision(), 0);
+    configuration
+        .lackedBy(hello.configurationRevision())
+        .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
     updateProcesses();
   }
 
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetPace.java
@@ -0,0 +1,50 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.gateway.traffic.RoutingState;
+
+/**
+ * How often gateways speak with the holder of the term, and what silence means.
+ *
+ * <p>In a wide fleet the pauses grow with it, so that the holder hears no more a second.
+ */
+final class FleetPace {
+
+  /** Pause between two hellos in a fleet of up to {@link #NARROW_FLEET} gateways. */
+  private static final long HELLO_MS = 300;
+
+  /** Below this size nothing is gained by speaking less. */
+  private static final int NARROW_FLEET = 40;
+
+  /** Three hellos without an answer, and some. */
+  private static final double SILENT_HELLOS = 3.2;
+
+  private final RoutingState state;
+
+  FleetPace(RoutingState state) {
+    this.state = state;
+  }
+
+  /** Returns a pause, longer in a wide fleet; milliseconds. */
+  long widened(long pauseMs) {
+    return pauseMs * Math.max(NARROW_FLEET, state.current().processes()) / NARROW_FLEET;
+  }
+
+  /** Returns the pause between two hellos; milliseconds. */
+  long helloMs() {
+    return widened(HELLO_MS);
+  }
+
+  /** Returns after how long without a word the holder passes for silent; milliseconds. */
+  long silentMs() {
+    return (long) (helloMs() * SILENT_HELLOS);
+  }
+
+  /**
+   * Returns how old knowledge may be that the holder confirms: its own was up to a short wait old
+   * when it spoke. With an answer that is overdue once this is 1.9 s in a narrow fleet, below the 2
+   * s in which a configuration has to be in force; milliseconds.
+   */
+  long confirmedMs() {
+    return silentMs() + KeyFollower.SHORT_WAIT_MS;
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -37,9 +37,14 @@
     return routes;
   }
 
-  FleetHello hello(String process) {
+  FleetHello hello(String process, long configurationRevision) {
     return new FleetHello(
-        process, targets.term(), targets.version(), routes.term(), routes.version());
+        process,
+        targets.term(),
+        targets.version(),
+        routes.term(),
+        routes.version(),
+        configurationRevision);
   }
 
   /** Notes what this process, as the holder, knows now. Returns what the others have to hear. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -158,6 +158,11 @@
     return term;
   }
 
+  /** Returns how long ago the store last confirmed the term; milliseconds. */
+  long termAgeMs() {
+    return clock.nowMs() - termLease.confirmedMs();
+  }
+
   long registryAgeMs() {
     return follower.ageMs();
   }
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -0,0 +1,213 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.store.StoreValue;
+import io.cuminvalve.ports.store.WatchResult;
+import java.util.Optional;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * Follows one key of the store, with a bound on how old its knowledge may grow.
+ *
+ * <p>Changes are rare, so it waits long for the next one while others confirm that it missed
+ * nothing. A connection may fall silent without a sign: a wait of 30 s on it would hide every
+ * change for as long. So knowledge that nobody confirms for a while ends the long wait; from then
+ * on waits are short, and one whose answer is overdue is taken up anew on another connection. All
+ * methods are for the control thread.
+ */
+final class KeyFollower {
+
+  /** How long a call waits while others confirm what is known; the longest the store allows. */
+  static final long LONG_WAIT_MS = 30_000;
+
+  /** How long it waits otherwise: two calls a second, and a quarter of what a change may take. */
+  static final long SHORT_WAIT_MS = 500;
+
+  /** An answer is overdue so long after the wait: a slow store takes up to 240 ms. */
+  static final long ANSWER_MS = 400;
+
+  /** How long after the news of a change from others the store's own answer is waited for. */
+  private static final long NEWS_GRACE_MS = 100;
+
+  /** Pause between two looks at the age. */
+  private static final long CHECK_MS = 150;
+
+  private final KeyValueStore store;
+  private final String key;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private final long retryMs;
+  private final LongSupplier maxAgeMs;
+  private final Consumer<WatchResult> listener;
+  private boolean open;
+  private long revision;
+  private volatile long answeredMs;
+  private volatile long heardMs;
+  private long newerHeardMs;
+  private long newestHeard;
+  private long callNumber;
+  private boolean waiting;
+  private long sentMs;
+  private long waitMs;
+  private Future<?> checking;
+
+  /**
+   * Creates a follower that does nothing yet.
+   *
+   * @param store where the key is; not null
+   * @param key the key; not null
+   * @param control the control thread; not null
+   * @param clock the time; not null
+   * @param log takes decisions; not null
+   * @param retryMs pause after a call that failed, and while the key does not exist; milliseconds
+   * @param maxAgeMs how old knowledge may be before waits become short; milliseconds; not null
+   * @param listener takes the end of each wait; not null
+   */
+  KeyFollower(
+      KeyValueStore store,
+      String key,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      long retryMs,
+      LongSupplier maxAgeMs,
+      Consumer<WatchResult> listener) {
+    this.store = store;
+    this.key = key;
+    this.control = control;
+    this.clock = clock;
+    this.log = log;
+    this.retryMs = retryMs;
+    this.maxAgeMs = maxAgeMs;
+    this.listener = listener;
+  }
+
+  /** Begins, or goes on from what is known. */
+  void start() {
+    if (!open) {
+      open = true;
+      checking = control.scheduleRepeatedly(this::check, CHECK_MS);
+      call();
+    }
+  }
+
+  /** Ends; answers that are under way are ignored. */
+  void close() {
+    if (open) {
+      open = false;
+      waiting = false;
+      callNumber++;
+      checking.cancel(false);
+    }
+  }
+
+  /** Returns the newest revision that was seen; 0 if none was. */
+  long revision() {
+    return revision;
+  }
+
+  /** Returns for how long nobody has confirmed what is known; milliseconds. */
+  long ageMs() {
+    return clock.nowMs() - Math.max(answeredMs, heardMs);
+  }
+
+  private boolean isConfirmedByOthers() {
+    return newestHeard <= revision && clock.nowMs() - heardMs <= maxAgeMs.getAsLong();
+  }
+
+  /**
+   * Learns from another process what it knows of the key.
+   *
+   * @param known the newest revision that it knows
+   * @param atMs when the store told it so; a time of the clock; milliseconds
+   */
+  void onHeard(long known, long atMs) {
+    if (known == revision) {
+      heardMs = Math.max(heardMs, atMs);
+    } else if (known > revision && known > newestHeard) {
+      newestHeard = known;
+      newerHeardMs = clock.nowMs();
+    }
+  }
+
+  /** Learns of a value from another process; it counts as seen. */
+  void onTaken(StoreValue value) {
+    revision = Math.max(revision, value.revision());
+  }
+
+  private void call() {
+    sentMs = clock.nowMs();
+    waitMs = isConfirmedByOthers() ? LONG_WAIT_MS : SHORT_WAIT_MS;
+    waiting = true;
+    long number = ++callNumber;
+    store.watch(key, revision, waitMs).thenAcceptAsync(result -> onResult(number, result), control);
+  }
+
+  private void onResult(long number, WatchResult result) {
+    if (!open || number != callNumber) {
+      return;
+    }
+    waiting = false;
+    result.value().ifPresent(value -> revision = Math.max(revision, value.revision()));
+    if (result.event() != WatchResult.Event.UNAVAILABLE) {
+      answeredMs = Math.max(answeredMs, sentMs);
+    }
+    listener.accept(result);
+    boolean atOnce =
+        result.event() == WatchResult.Event.CHANGED
+            || result.event() == WatchResult.Event.UNCHANGED;
+    if (!open || waiting) {
+      return;
+    }
+    if (atOnce) {
+      call();
+    } else {
+      control.schedule(this::callUnlessWaiting, retryMs);
+    }
+  }
+
+  private void callUnlessWaiting() {
+    if (open && !waiting) {
+      call();
+    }
+  }
+
+  private void check() {
+    if (!open || !waiting) {
+      return;
+    }
+    reasonToRenew()
+        .ifPresent(
+            why -> {
+              log.write(
+                  "watch_renewed",
+                  "key={} why={} revision={} heard_of={} waited_ms={} age_ms={}",
+                  key,
+                  why,
+                  revision,
+                  newestHeard,
+                  clock.nowMs() - sentMs,
+                  ageMs());
+              call();
+            });
+  }
+
+  /** Tells why the wait that is under way must not be relied on any longer. */
+  private Optional<String> reasonToRenew() {
+    long nowMs = clock.nowMs();
+    if (newestHeard > revision && sentMs <= newerHeardMs && nowMs - newerHeardMs > NEWS_GRACE_MS) {
+      return Optional.of("change_missed");
+    }
+    if (nowMs - sentMs > waitMs + ANSWER_MS) {
+      return Optional.of("answer_overdue");
+    }
+    boolean confirmed = nowMs - heardMs <= maxAgeMs.getAsLong();
+    return waitMs > SHORT_WAIT_MS && !confirmed ? Optional.of("unconfirmed") : Optional.empty();
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -14,6 +14,7 @@
 import io.cuminvalve.ports.store.WriteResult;
 import io.cuminvalve.wire.RecordCodec;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -60,7 +61,6 @@
   /** Two renewals have failed, or one was not answered. */
   private static final long OUTAGE_MS = 1_000;
 
-  private static final long WATCH_MS = 30_000;
   private static final long RETRY_MS = 200;
 
   /**
@@ -85,10 +85,10 @@
   private final long graceMs;
   private final Listener listener;
   private final RecordCodec codec;
+  private final KeyFollower follower;
 
   private boolean closed;
   private boolean candidate;
-  private long watchedRevision;
   private boolean holding;
   private Optional<StoreLeaseId> lease = Optional.empty();
   private long confirmedMs;
@@ -106,6 +106,7 @@
    * @param firstCandidate whether it need not wait before it tries
    * @param processorCores how many cores this process may use; above 0
    * @param graceMs for how long it goes on without an answer of the store; milliseconds
+   * @param maxAgeMs how old knowledge that the holder confirms may be; milliseconds; not null
    * @param listener learns of changes; not null
    */
   public TermLease(
@@ -119,6 +120,7 @@
       boolean firstCandidate,
       double processorCores,
       long graceMs,
+      LongSupplier maxAgeMs,
       Listener listener) {
     this.store = store;
     this.control = control;
@@ -131,11 +133,26 @@
     this.processorCores = processorCores;
     this.graceMs = graceMs;
     this.listener = listener;
+    this.follower =
+        new KeyFollower(store, KEY, control, clock, log, RETRY_MS, maxAgeMs, this::onWatched);
   }
 
   /** Starts to watch the term. */
   public void start() {
-    watch();
+    follower.start();
+  }
+
+  /**
+   * Hears from the holder that it holds the term.
+   *
+   * <p>Without that the vacancy of the term, or the next holder, might stay unknown for as long as
+   * a wait at the store hangs on a connection that fell silent.
+   *
+   * @param term its number
+   * @param atMs when the store confirmed it; a time of the clock; milliseconds
+   */
+  public void onHeard(long term, long atMs) {
+    follower.onHeard(term, atMs);
   }
 
   /**
@@ -146,6 +163,7 @@
    */
   public void close() {
     closed = true;
+    follower.close();
     if (holding && !isOutage()) {
       lose("stopping");
     }
@@ -164,7 +182,6 @@
   public void onReplaced() {
     if (holding) {
       lose("replaced");
-      watch();
     }
   }
 
@@ -184,31 +201,16 @@
     return confirmedMs;
   }
 
-  private void watch() {
-    if (closed || holding) {
-      return;
-    }
-    store.watch(KEY, watchedRevision, WATCH_MS).thenAcceptAsync(this::onWatched, control);
-  }
-
   private void onWatched(WatchResult result) {
-    if (closed || holding) {
-      return;
-    }
     switch (result.event()) {
       case CHANGED -> {
-        StoreValue value = result.value().orElseThrow();
-        watchedRevision = value.revision();
         candidate = false;
-        onNote(value);
-        watch();
+        onNote(result.value().orElseThrow());
       }
-      case UNCHANGED -> watch();
-      case ABSENT -> {
-        becomeCandidate();
-        control.schedule(this::watch, RETRY_MS);
+      case ABSENT -> becomeCandidate();
+      case UNCHANGED, UNAVAILABLE -> {
+        // The holder that is known goes on.
       }
-      case UNAVAILABLE -> control.schedule(this::watch, RETRY_MS);
       default -> throw new IllegalStateException("unknown event " + result.event());
     }
   }
@@ -295,6 +297,7 @@
       return;
     }
     holding = true;
+    follower.close();
     lease = Optional.of(created);
     confirmedMs = sentMs;
     log.write("term_gained", "term={}", term);
@@ -308,7 +311,6 @@
     }
     if (clock.nowMs() - confirmedMs > graceMs) {
       lose("not_confirmed");
-      watch();
       return;
     }
     keep();
@@ -332,7 +334,6 @@
       }
     } else if (outcome == StoreOutcome.CONFLICT) {
       lose("lapsed");
-      watch();
     }
   }
 
@@ -342,5 +343,8 @@
     lease = Optional.empty();
     log.write("term_lost", "why={}", why);
     listener.onLost();
+    if (!closed) {
+      follower.start();
+    }
   }
 }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
@@ -33,6 +33,8 @@
   /** By then a configuration has to be in force. */
   private static final long IN_FORCE_MS = 2_000;
 
+  private static final long MAX_AGE_MS = 1_460;
+
   private final VirtualClock clock = new VirtualClock(1_000);
   private final ControlThread control =
       new ControlThread("test", FailureHandler.logging(), new VirtualExecutor(clock));
@@ -43,7 +45,10 @@
           new GatewayPorts(store, "configuration", ConfigurationWatchTest::decode, null, null),
           state,
           control,
-          new DecisionLog(clock, 100, line -> {}));
+          clock,
+          new DecisionLog(clock, 100, line -> {}),
+          () -> MAX_AGE_MS,
+          value -> {});
 
   @BeforeEach
   void begin() {
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
@@ -0,0 +1,143 @@
+package io.cuminvalve.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.ports.store.WatchResult;
+import io.cuminvalve.testkit.time.VirtualClock;
+import io.cuminvalve.testkit.time.VirtualExecutor;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class KeyFollowerTest {
+
+  private static final long RETRY_MS = 150;
+  private static final long MAX_AGE_MS = 1_400;
+  private static final long BEAT_MS = 300;
+
+  private final VirtualClock clock = new VirtualClock(10_000);
+  private final ControlThread control =
+      new ControlThread("test", FailureHandler.logging(), new VirtualExecutor(clock));
+  private final WatchedStore store = new WatchedStore();
+  private final List<WatchResult.Event> ends = new ArrayList<>();
+  private final KeyFollower follower =
+      new KeyFollower(
+          store,
+          "key",
+          control,
+          clock,
+          new DecisionLog(clock, 100, line -> {}),
+          RETRY_MS,
+          () -> MAX_AGE_MS,
+          result -> ends.add(result.event()));
+
+  @BeforeEach
+  void begin() {
+    store.put((byte) 1);
+    follower.start();
+    clock.advance(0);
+    assertThat(follower.revision()).isEqualTo(1);
+  }
+
+  @Test
+  void unconfirmedKnowledgeIsLookedAfterOften() {
+    clock.advance(20_000);
+    long shortest = KeyFollower.SHORT_WAIT_MS + KeyFollower.ANSWER_MS;
+    assertThat(store.waits().size()).isAtLeast((int) (20_000 / (shortest + 200)));
+    assertThat(last(store.waits())).isEqualTo(KeyFollower.SHORT_WAIT_MS);
+  }
+
+  @Test
+  void confirmedKnowledgeCostsNoCalls() {
+    confirmFor(3_000);
+    final int calls = store.waits().size();
+    assertThat(last(store.waits())).isEqualTo(KeyFollower.LONG_WAIT_MS);
+    confirmFor(20_000);
+    assertThat(store.waits()).hasSize(calls);
+  }
+
+  @Test
+  void theLongWaitEndsWhenNobodyConfirmsAnyMore() {
+    confirmFor(3_000);
+    store.silenceWaitingCalls();
+    store.put((byte) 2);
+    clock.advance(MAX_AGE_MS + 300);
+    assertThat(follower.revision()).isEqualTo(2);
+  }
+
+  @Test
+  void newsFromOthersEndTheWaitAtOnce() {
+    confirmFor(3_000);
+    store.silenceWaitingCalls();
+    store.put((byte) 2);
+    follower.onHeard(2, 0);
+    clock.advance(BEAT_MS);
+    assertThat(follower.revision()).isEqualTo(2);
+  }
+
+  @Test
+  void whoKnowsLessConfirmsNothing() {
+    confirmFor(3_000);
+    store.silenceWaitingCalls();
+    store.put((byte) 2);
+    follower.onHeard(2, 0);
+    clock.advance(BEAT_MS);
+    store.silenceWaitingCalls();
+    store.put((byte) 3);
+    for (long ms = 0; ms < MAX_AGE_MS + BEAT_MS; ms += BEAT_MS) {
+      follower.onHeard(1, clock.nowMs());
+      clock.advance(BEAT_MS);
+    }
+    assertThat(follower.revision()).isEqualTo(3);
+  }
+
+  @Test
+  void answersThatAreOverdueAreNotWaitedFor() {
+    store.silenceWaitingCalls();
+    store.put((byte) 2);
+    clock.advance(KeyFollower.SHORT_WAIT_MS + KeyFollower.ANSWER_MS + 150);
+    assertThat(follower.revision()).isEqualTo(2);
+  }
+
+  @Test
+  void failedCallsAreNotRepeatedAtOnce() {
+    store.setAvailable(false);
+    store.put((byte) 2);
+    clock.advance(0);
+    final int calls = store.waits().size();
+    clock.advance(10 * RETRY_MS);
+    assertThat(store.waits().size() - calls).isAtMost(11);
+    store.setAvailable(true);
+    clock.advance(RETRY_MS);
+    assertThat(follower.revision()).isEqualTo(2);
+    assertThat(ends).contains(WatchResult.Event.UNAVAILABLE);
+  }
+
+  @Test
+  void nothingIsHeardAfterTheEnd() {
+    follower.close();
+    ends.clear();
+    store.put((byte) 2);
+    clock.advance(5_000);
+    assertThat(ends).isEmpty();
+    follower.start();
+    clock.advance(0);
+    assertThat(ends).containsExactly(WatchResult.Event.CHANGED);
+  }
+
+  /** The holder confirms again and again what this one knows. */
+  private void confirmFor(long durationMs) {
+    for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
+      follower.onHeard(follower.revision(), clock.nowMs());
+      clock.advance(BEAT_MS);
+    }
+  }
+
+  private static <T> T last(List<T> list) {
+    return list.get(list.size() - 1);
+  }
+}
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.protocol.ConfigPush;
 import io.cuminvalve.core.protocol.ConfigRequest;
+import io.cuminvalve.core.protocol.ConfigurationNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetNews;
@@ -107,7 +108,8 @@
           type(44, LeasesLeft.class),
           type(45, TargetReplaced.class),
           type(46, RoutesChange.class),
-          type(47, TargetsChange.class));
+          type(47, TargetsChange.class),
+          type(48, ConfigurationNews.class));
 
   private PeerMessageTypes() {}
 
