--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -302,10 +302,13 @@
    * @param outcome how it ended; not null
    * @param sentMs when it was sent; milliseconds
    * @param nowMs the time; milliseconds
+   * @return whether keys that nobody could use before can be used from now on
    */
-  public void onGrantEnded(LeaseOrder.Grant order, OrderOutcome outcome, long sentMs, long nowMs) {
+  public boolean onGrantEnded(
+      LeaseOrder.Grant order, OrderOutcome outcome, long sentMs, long nowMs) {
     noteEnded(order, outcome);
     long nextMs = outcome == OrderOutcome.DONE ? sentMs + renewMs() : nowMs + timings.retryMs();
+    boolean opened = false;
     for (HeldRange held : ranges) {
       if (!order.range().contains(held.range())) {
         continue;
@@ -313,6 +316,7 @@
       if (held.token() == order.token() && held.owner().equals(order.target())) {
         boolean wasOpen = held.isOpen();
         held.onGrantEnded(outcome, nextMs);
+        opened |= !wasOpen && held.isOpen();
         routesChanged |= wasOpen != held.isOpen();
       }
       PreviousOwner previous = held.previousOwners().get(order.target());
@@ -320,6 +324,7 @@
         previous.onGrantAnswered();
       }
     }
+    return opened;
   }
 
   /**
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -114,6 +114,34 @@
     assertThat(grantsTo(B, due(100))).isNotEmpty();
   }
 
+  @Test
+  void theRenewalThatMeetsAnotherRunProvesThatTheOwnerHasEnded() {
+    LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(A, due(1_000)).get(0);
+    desk.onGrantEnded(renewal, OrderOutcome.OTHER_TARGET, 1_000, 1_010);
+    assertThat(desk.routes().get(0).open()).isFalse();
+    desk.move(renewal.range(), B, 1_010);
+    desk.onWritten(desk.version());
+    LeaseOrder.Grant next = (LeaseOrder.Grant) grantsTo(B, due(1_010)).get(0);
+    assertThat(next.token()).isGreaterThan(renewal.token());
+  }
+
+  @Test
+  void theReleaseThatMeetsAnotherRunFreesTheKeys() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    desk.onReleaseEnded(release, OrderOutcome.OTHER_TARGET, Optional.empty(), 150);
+    assertThat(grantsTo(B, due(150))).hasSize(1);
+  }
+
+  @Test
+  void onlyTheGrantThatOpensKeysSaysSo() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    desk.onReleaseEnded(release, OrderOutcome.DONE, Optional.empty(), 150);
+    LeaseOrder.Grant grant = (LeaseOrder.Grant) grantsTo(B, due(150)).get(0);
+    assertThat(desk.onGrantEnded(grant, OrderOutcome.DONE, 150, 160)).isTrue();
+    LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(B, due(1_200)).get(0);
+    assertThat(desk.onGrantEnded(renewal, OrderOutcome.DONE, 1_200, 1_210)).isFalse();
+  }
+
   @Test
   void theStaleTokenStopsRenewalsUntilTheTermIsConfirmed() {
     LeaseOrder.Grant renewal = (LeaseOrder.Grant) grantsTo(A, due(1_000)).get(0);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -99,7 +99,10 @@
       if (reply.outcome() != OrderOutcome.DONE) {
         logOrder("grant_failed", order, reply, nowMs - sentMs);
       }
-      desk.onGrantEnded(grant, reply.outcome(), sentMs, nowMs);
+      boolean opened = desk.onGrantEnded(grant, reply.outcome(), sentMs, nowMs);
+      if (opened) {
+        logOrder("keys_granted", order, reply, nowMs - sentMs);
+      }
     } else if (order instanceof LeaseOrder.Release release) {
       logOrder("release_ended", order, reply, nowMs - sentMs);
       desk.onReleaseEnded(release, reply.outcome(), reply.handover(), nowMs);
