Tell from logs of gateways what became of a request or a key, and why

Cause: after a failure an engineer on call had lines of several gateways and put them together by hand.

A request: how it ended, the owner or the gap of its key meanwhile, what others met at its key and target, the story in the order of time, and what each step knew and how far others were by then. A key: owners with the line that shows each, gaps with reasons, what was given up. Text and JSON. A line `keys_granted` ends a gap if there is one; else the first answer of the new owner does.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/Cuminvalve.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/Cuminvalve.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.cli.command.DrainCommand;
 import io.cuminvalve.cli.command.ExplainCommand;
 import io.cuminvalve.cli.command.ExplainKeyCommand;
+import io.cuminvalve.cli.command.ExplainLogCommand;
 import io.cuminvalve.cli.command.ExplainRequestCommand;
 import io.cuminvalve.cli.command.HistoryCommand;
 import io.cuminvalve.cli.command.PublishCommand;
@@ -99,7 +100,8 @@
     CommandLine explain =
         new CommandLine(new ExplainCommand())
             .addSubcommand(new ExplainKeyCommand(context))
-            .addSubcommand(new ExplainRequestCommand(context));
+            .addSubcommand(new ExplainRequestCommand(context))
+            .addSubcommand(new ExplainLogCommand(context, System.in));
     CommandLine commandLine =
         new CommandLine(new Cuminvalve())
             .addSubcommand(new CheckCommand(context))
--- /dev/null
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -0,0 +1,50 @@
+package io.cuminvalve.cli.story;
+
+import java.util.Map;
+
+/** What the reasons in the log mean, for people. */
+final class Reasons {
+
+  private static final Map<String, String> BY_NAME =
+      Map.ofEntries(
+          Map.entry("no_configuration", "the gateway knew no configuration yet"),
+          Map.entry("no_route", "no route of the configuration in force fits host and path"),
+          Map.entry("no_key", "the service has keys and the request had no valid one"),
+          Map.entry("body_too_large", "its body exceeds the bound of the configuration"),
+          Map.entry("owner_unknown", "the gateway had not heard who owns the key"),
+          Map.entry("key_on_the_move", "as the gateway knew it, no target had a lease of the key"),
+          Map.entry("owner_busy", "the owner had as many requests as this gateway may send it"),
+          Map.entry("owner_leaving", "the owner was leaving and the key not yet moved"),
+          Map.entry("overload_busy", "the owner cannot bear all requests for the key"),
+          Map.entry("no_target", "no target of the service was ready"),
+          Map.entry("targets_busy", "every target had as many requests as this gateway may send"),
+          Map.entry("refused_by_target", "targets proved several times that they did not run it"),
+          Map.entry("timeout", "its time was over while a target worked on it"),
+          Map.entry("timeout_unsent", "its time was over before it was sent"),
+          Map.entry("foreign_answer", "the target answered another request on its connection"),
+          Map.entry("cut_answer", "the target's answer broke off"),
+          Map.entry("EOFException", "the target closed the connection without an answer"),
+          Map.entry("SocketException", "the connection to the target was reset"),
+          Map.entry("ConnectException", "the target accepts no connection"),
+          Map.entry("SocketTimeoutException", "the target did not accept the connection in time"));
+
+  private static final Map<String, String> BY_OUTCOME =
+      Map.of(
+          "DONE", "",
+          "STALE", ", it knows a higher token",
+          "REJECTED", ", it cannot carry it out",
+          "NOT_SENT", ", it accepts no connection",
+          "UNANSWERED", ", it may be carried out later");
+
+  private Reasons() {}
+
+  /** Returns the meaning of a reason; of one that is not known, its name. */
+  static String of(String reason) {
+    return BY_NAME.getOrDefault(reason, "its attempt failed (" + reason + ")");
+  }
+
+  /** Returns the meaning of the outcome of an order to a target, as the end of a sentence. */
+  static String ofOutcome(String outcome) {
+    return BY_OUTCOME.getOrDefault(outcome, "");
+  }
+}
