Narrow the gaps of a key by what is moved on of the keys that came along

Cause: without a line of the grant, the end of a gap is the first answer of the new owner for these keys; of a key that nobody asks for no line showed an end.

Change: the holder moves only keys whose owner has its lease. A move of other keys of the same range away from the new owner ends the gap at the latest.

Modules cli, architecture and all they need: 756 tests, no failure, one skipped by its own condition as before.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/KeyTimeline.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/KeyTimeline.java
@@ -58,6 +58,8 @@
       onHolder(line);
     } else if (line.covers(key)) {
       takeOrder(line);
+    } else if (gap != null && line.event().equals("keys_moved") && gap.isEndedByMove(line)) {
+      endGap(line, gap.to(), "keys that came along are moved on");
     }
   }
 
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/LogLine.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/LogLine.java
@@ -63,14 +63,27 @@
 
   /** Tells whether its range of keys has a key; false if it names no range. */
   boolean covers(int key) {
+    int[] range = range();
+    return range.length > 0 && range[0] <= key && key <= range[1];
+  }
+
+  /** Tells whether its range of keys and that of another have a key in common. */
+  boolean overlaps(LogLine other) {
+    int[] range = range();
+    int[] others = other.range();
+    return range.length > 0 && others.length > 0 && range[0] <= others[1] && others[0] <= range[1];
+  }
+
+  /** Returns the first and the last key of its range; nothing if it names none. */
+  private int[] range() {
     String[] bounds = value("keys").split("-", -1);
     if (bounds.length != 2) {
-      return false;
+      return new int[0];
     }
     try {
-      return Integer.parseInt(bounds[0]) <= key && key <= Integer.parseInt(bounds[1]);
+      return new int[] {Integer.parseInt(bounds[0]), Integer.parseInt(bounds[1])};
     } catch (NumberFormatException noRange) {
-      return false;
+      return new int[0];
     }
   }
 
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/OpenGap.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/OpenGap.java
@@ -75,6 +75,11 @@
     return (fromOwner || fromStored) && order.covers(answer.key().orElse(-1));
   }
 
+  /** Only keys whose owner has its lease are moved: others that came along have arrived, too. */
+  boolean isEndedByMove(LogLine move) {
+    return move.has("from", to) && order.overlaps(move);
+  }
+
   Gap endedBy(LogLine line, String evidence) {
     return gap(Span.between(first, line), evidence);
   }
--- a/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/KeyTimelineTest.java
+++ b/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/KeyTimelineTest.java
@@ -81,6 +81,24 @@
         .inOrder();
   }
 
+  @Test
+  void keysThatCameAlongAndAreMovedOnShowThatAllHadArrived() {
+    KeyTimeline timeline =
+        timeline(
+            25,
+            MOVE,
+            """
+            10:00:02.000 INFO event=keys_moved service=core keys=28-28 from=a to=c load=0.5
+            10:00:03.000 INFO event=keys_moved service=core keys=30-39 from=b to=c load=0.5
+            10:00:04.000 INFO event=keys_moved service=core keys=20-21 from=b to=c load=0.5
+            """);
+    assertThat(timeline.gaps()).hasSize(1);
+    assertThat(timeline.gaps().get(0).time())
+        .isEqualTo(span("10:00:01.000", "10:00:04.000", 3_000));
+    assertThat(timeline.owners().get(1))
+        .isEqualTo(new Ownership("b", open("10:00:04.000"), "keys that came along are moved on"));
+  }
+
   @Test
   void whatIsEvacuatedHadNotArrived() {
     KeyTimeline timeline =
--- a/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/LogLineTest.java
+++ b/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/LogLineTest.java
@@ -16,6 +16,17 @@
     assertThat(line.covers(30)).isFalse();
   }
 
+  @Test
+  void rangesOverlapIfTheyShareKeys() {
+    LogLine line = line("keys", "20-29");
+    assertThat(line.overlaps(line("keys", "29-40"))).isTrue();
+    assertThat(line.overlaps(line("keys", "10-20"))).isTrue();
+    assertThat(line.overlaps(line("keys", "22-23"))).isTrue();
+    assertThat(line.overlaps(line("keys", "30-40"))).isFalse();
+    assertThat(line.overlaps(line("keys", "-"))).isFalse();
+    assertThat(line("key", "5").overlaps(line)).isFalse();
+  }
+
   @Test
   void whatIsNoRangeHasNoKey() {
     assertThat(line("keys", "a-b").covers(0)).isFalse();
