Test that a call that waits is not cut as idle

Cause: Connections to the store are closed once they were idle for 30 s, and one on which a call waits for its answer counts as idle. A wait of 30 s for the next configuration or term, whose own bound is 31.5 s, ends as if the store were lost, also at a store that is well. Change: A test in which a call waits for longer than connections may be idle; that this time is over is told by the end of another connection. HttpCaller gets a constructor with the idle time, for the test; nothing else changes.

--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -42,6 +42,10 @@
    * @param connectTimeoutMs how long opening a connection may take; milliseconds
    */
   public HttpCaller(String name, long connectTimeoutMs) {
+    this(name, connectTimeoutMs, IDLE_TIMEOUT_MS);
+  }
+
+  HttpCaller(String name, long connectTimeoutMs, long idleTimeoutMs) {
     DaemonThreadPool threads = new DaemonThreadPool(name, MAX_THREADS, MIN_THREADS);
     ClientConnector connector = new PlainConnector();
     connector.setSelectors(1);
@@ -49,7 +53,7 @@
     this.client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     client.setExecutor(threads);
     client.setConnectTimeout(connectTimeoutMs);
-    client.setIdleTimeout(IDLE_TIMEOUT_MS);
+    client.setIdleTimeout(idleTimeoutMs);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ADDRESS);
--- /dev/null
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
@@ -0,0 +1,92 @@
+package io.cuminvalve.ports.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A call may wait for its answer for as long as its own bound allows.
+ *
+ * <p>Seen: waits at the store that are bounded to 31.5 s ended without an answer, as {@code
+ * store_lost}, 30.0 s after they had begun.
+ *
+ * <p>How: the times of {@code configuration_in_force} and {@code store_lost} on three gateways;
+ * then a call of 31.5 s to a server that answers after 30.004 s, which ended without an answer.
+ *
+ * <p>Cause: unused connections are closed after 30 s, and one on which a call waits counts as
+ * unused. A wait of 30 s at a store that is well therefore ends as if the store were lost.
+ *
+ * <p>Proof: below, a call waits for longer than connections may be idle: the end of another, idle
+ * one tells that this time is over.
+ */
+class HttpCallerTest {
+
+  private static final long IDLE_MS = 2_000;
+  private static final long BOUND_MS = 600_000;
+  private static final byte[] ANSWER =
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
+
+  private final HttpCaller caller = new HttpCaller("test", 5_000, IDLE_MS);
+  private ServerSocket server;
+
+  @BeforeEach
+  void setUp() throws IOException {
+    server = new ServerSocket(0, 2, InetAddress.getLoopbackAddress());
+    caller.start();
+  }
+
+  @AfterEach
+  void tearDown() throws IOException {
+    caller.stop();
+    server.close();
+  }
+
+  @Test
+  void callsThatWaitAreNotIdle() throws IOException {
+    final CompletableFuture<HttpAnswer> waiting = call("/wait");
+    try (Socket waits = accept()) {
+      final CompletableFuture<HttpAnswer> answered = call("/now");
+      try (Socket idle = accept()) {
+        idle.getOutputStream().write(ANSWER);
+        assertThat(answered.join().kind()).isEqualTo(HttpAnswer.Kind.ANSWERED);
+        awaitEnd(idle.getInputStream());
+      }
+      waits.getOutputStream().write(ANSWER);
+      assertThat(waiting.join().kind()).isEqualTo(HttpAnswer.Kind.ANSWERED);
+    }
+  }
+
+  private CompletableFuture<HttpAnswer> call(String path) {
+    return caller.call("GET", "http://127.0.0.1:" + server.getLocalPort() + path, BOUND_MS);
+  }
+
+  /** Takes a connection, and from it the head of a request. */
+  private Socket accept() throws IOException {
+    Socket accepted = server.accept();
+    InputStream in = accepted.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        throw new IOException("the connection ended before the request");
+      }
+      head.append((char) next);
+    }
+    return accepted;
+  }
+
+  private static void awaitEnd(InputStream in) throws IOException {
+    while (in.read() >= 0) {
+      // Whatever comes before the end does not matter.
+    }
+  }
+}
