Bound a call that waits by its own time alone

Cause: Connections to the store are closed once they were idle for 30 s, and one on which a call waits for its answer counts as idle. Every quiet wait of 30 s ends as if the store were lost: a false line store_lost, a pause and a new connection. Change: A call in progress has no idle time. Its own bound, which every call has, ends it; connections without a call are closed as before.

--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -128,7 +128,9 @@
   private CompletableFuture<HttpAnswer> send(Request request, long timeoutMs) {
     CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
     AtomicBoolean begun = new AtomicBoolean();
+    // A call that waits for its answer is not idle: only its own bound ends it.
     request
+        .idleTimeout(0, TimeUnit.MILLISECONDS)
         .timeout(timeoutMs, TimeUnit.MILLISECONDS)
         .onRequestBegin(ignored -> begun.set(true))
         .send(
