--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -43,6 +43,10 @@
    * @param connectTimeoutMs how long opening a connection may take; milliseconds
    */
   public HttpCaller(String name, long connectTimeoutMs) {
+    this(name, connectTimeoutMs, IDLE_TIMEOUT_MS);
+  }
+
+  HttpCaller(String name, long connectTimeoutMs, long idleTimeoutMs) {
     DaemonThreadPool threads = new DaemonThreadPool(name, MAX_THREADS, MIN_THREADS);
     ClientConnector connector = new PlainConnector();
     connector.setSelectors(1);
@@ -50,7 +54,7 @@
     this.client = new HttpClient(new HttpClientTransportOverHTTP(connector));
     client.setExecutor(threads);
     client.setConnectTimeout(connectTimeoutMs);
-    client.setIdleTimeout(IDLE_TIMEOUT_MS);
+    client.setIdleTimeout(idleTimeoutMs);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ADDRESS);
@@ -147,7 +151,9 @@
   private CompletableFuture<HttpAnswer> send(Request request, long timeoutMs) {
     CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
     AtomicBoolean begun = new AtomicBoolean();
+    // A call that waits for its answer is not idle: only its own bound ends it.
     request
+        .idleTimeout(0, TimeUnit.MILLISECONDS)
         .timeout(timeoutMs, TimeUnit.MILLISECONDS)
         .onRequestBegin(ignored -> begun.set(true))
         .send(
