--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -84,7 +84,7 @@
   }
 
   @Test
-  void twoSilentConnectionsInARowDelayChangesByLessThanTheirBound() {
+  void twoSilentConnectionsDelayChangesByLessThanTheirBound() {
     long worst = worstDelayMs(8, 1);
     assertThat(worst).isAtMost(IN_FORCE_MS);
   }
