Explain the outcome of an order that another run answered

Cause: a test says that every outcome but success is explained; the new one was not. Change: its words.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -33,6 +33,7 @@
           "DONE", "",
           "STALE", ", it knows a higher token",
           "REJECTED", ", it cannot carry it out",
+          "OTHER_TARGET", ", another run has its address",
           "NOT_SENT", ", it accepts no connection",
           "UNANSWERED", ", it may be carried out later");
 
