Hear of changes of targets from a store that is slow all the time

Cause: the new bound on the wait for changes of the registry ignored every answer that came later: at a store whose answers take longer than it, no change of a target was ever heard. Change: a late answer counts unless a later one was taken before it. Figures: a store that answers a second after each wait: changes heard before 0, now all but those under way.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -67,6 +67,7 @@
   private long keepUntilMs;
   private boolean outageSeen;
   private long callNumber;
+  private long answeredNumber;
 
   RegistryFollower(
       TargetRegistry registry,
@@ -153,18 +154,25 @@
   }
 
   private void onOverdue(long number) {
-    if (!closed && number == callNumber) {
+    if (!closed && number == callNumber && number > answeredNumber) {
       log.write("registry_call_renewed", "revision={} age_ms={}", revision, ageMs());
       watch();
     }
   }
 
-  /** The answer to a call that was given up is ignored: the next one begins where it did. */
+  /**
+   * Takes an answer. That to a call that was begun anew counts too, unless a later one was answered
+   * before: a store that is slow all the time would else never be heard.
+   */
   private void onChanges(long number, RegistryChanges changes) {
-    if (closed || number != callNumber) {
+    if (closed || number <= answeredNumber) {
+      return;
+    }
+    if (number != callNumber) {
+      onLateChanges(number, changes);
       return;
     }
-    callNumber++;
+    answeredNumber = number;
     switch (changes.status()) {
       case ANSWERED -> {
         onAnswer();
@@ -179,6 +187,14 @@
     }
   }
 
+  private void onLateChanges(long number, RegistryChanges changes) {
+    if (changes.status() == RegistryChanges.Status.ANSWERED) {
+      answeredNumber = number;
+      onAnswer();
+      take(changes);
+    }
+  }
+
   private void onAnswer() {
     long nowMs = clock.nowMs();
     if (outageSeen && nowMs - answeredMs > OUTAGE_MS) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** What silent connections, slow answers and refused calls may cost at most. */
@@ -245,15 +246,7 @@
   /** The wait falls silent; the caller of the store gives up after 1,100 + 1,500 ms. */
   @Test
   void targetsThatLeaveAreNoticedWithinTheirDrain() {
-    FleetTarget target =
-        new FleetTarget(
-            new TargetId("a"),
-            new ServiceId("core"),
-            "10.0.0.1:80",
-            new DataCentreId("dc"),
-            4,
-            TargetPhase.READY,
-            0);
+    FleetTarget target = target("a");
     TargetRegistry registry =
         new TargetRegistry() {
           private int calls;
@@ -287,6 +280,51 @@
     assertThat(follower.register().all()).isEmpty();
   }
 
+  /** Each answer takes longer than the bound after which a call is begun anew. */
+  @Test
+  void changesOfTargetsAreHeardFromSlowStores() {
+    AtomicInteger calls = new AtomicInteger();
+    TargetRegistry registry =
+        new TargetRegistry() {
+          @Override
+          public CompletableFuture<RegistryListing> list() {
+            return CompletableFuture.completedFuture(new RegistryListing(true, List.of(), 1));
+          }
+
+          @Override
+          public CompletableFuture<RegistryChanges> changes(long afterRevision, long waitMs) {
+            CompletableFuture<RegistryChanges> answer = new CompletableFuture<>();
+            int call = calls.incrementAndGet();
+            RegistryChanges news =
+                new RegistryChanges(
+                    RegistryChanges.Status.ANSWERED,
+                    List.of(target("target-" + call)),
+                    List.of(),
+                    call + 1);
+            clock.schedule(waitMs + 1_000, () -> answer.complete(news));
+            return answer;
+          }
+        };
+    RegistryFollower follower =
+        new RegistryFollower(registry, control, clock, log, List.of(), () -> {});
+    control.execute(follower::start);
+    clock.advance(10_000);
+    int heard = follower.register().all().size();
+    assertThat(heard).isAtLeast(calls.get() - 3);
+    assertThat(heard).isAtLeast(5);
+  }
+
+  private static FleetTarget target(String id) {
+    return new FleetTarget(
+        new TargetId(id),
+        new ServiceId("core"),
+        "10.0.0.1:80",
+        new DataCentreId("dc"),
+        4,
+        TargetPhase.READY,
+        0);
+  }
+
   private void confirm(KeyFollower follower, long durationMs) {
     for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
       follower.onHeard(follower.revision(), clock.nowMs());
