Tell runs of a target apart that have the same name; take nothing from entries that cannot be read

Change: the id of a run is its name and its start. Each grant has a token of its own. The next run of a name inherits what the one before may hold, so it can be asked. While the term is not confirmed, orders go only over connections on which the target has answered. Entries are read strictly; those that name no target are counted and logged.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetRegister.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetRegister.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 /**
  * The targets that are known now, with a version that changes when routing has to change.
@@ -25,12 +26,17 @@
   private long version;
 
   /**
-   * Takes one registration.
+   * Takes one registration. A later run replaces an earlier one of the same target; a late word of
+   * an earlier run changes nothing.
    *
    * @param target the registration; not null
    * @return true if routing has to change
    */
   public boolean put(FleetTarget target) {
+    if (hasAny(known -> known.isLaterRunOf(target.id()))) {
+      return false;
+    }
+    targets.keySet().removeIf(target.id()::isLaterRunOf);
     FleetTarget before = targets.put(target.id(), target);
     boolean changed = !target.routesLike(before);
     if (changed) {
@@ -39,6 +45,21 @@
     return changed;
   }
 
+  private boolean hasAny(Predicate<TargetId> condition) {
+    return targets.keySet().stream().anyMatch(condition);
+  }
+
+  /**
+   * Finds the runs that are known of a target; more than one only while their starts are not known.
+   *
+   * @param id the target, or any run of it; not null
+   * @return never null
+   */
+  public List<TargetId> runsOf(TargetId id) {
+    String name = id.name();
+    return targets.keySet().stream().filter(known -> known.name().equals(name)).toList();
+  }
+
   /**
    * Forgets a target.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/id/Identifiers.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/id/Identifiers.java
@@ -13,8 +13,17 @@
 
   private static final Pattern ALLOWED = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._:-]{0,127}");
 
+  /** Fits into a signed number of 64 bits. */
+  private static final Pattern NUMBER = Pattern.compile("[0-9]{1,18}");
+
   private Identifiers() {}
 
+  static void checkNumber(String value, String type) {
+    if (!NUMBER.matcher(value).matches()) {
+      throw new CodedException(ErrorCode.INVALID_INPUT, type + " has an invalid number: " + value);
+    }
+  }
+
   static String check(String value, String type) {
     if (value == null || !ALLOWED.matcher(value).matches()) {
       throw new CodedException(ErrorCode.INVALID_INPUT, type + " has an invalid value: " + value);
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 
 /** One range, as the holder of the term sees it. */
@@ -15,6 +16,7 @@
   private final Map<TargetId, PreviousOwner> previousOwners = new LinkedHashMap<>();
   private TargetId owner;
   private long token;
+  private boolean tokenSent;
 
   /** The version of the assignments that has to be durable before this one is acted on. */
   private long neededVersion;
@@ -50,6 +52,7 @@
     copy.handover = handover;
     copy.granted = granted;
     copy.stale = stale;
+    copy.tokenSent = tokenSent;
     copy.grantInFlight = grantInFlight;
     copy.nextGrantMs = nextGrantMs;
     copy.heldUntilMs = heldUntilMs;
@@ -159,6 +162,44 @@
     granted = false;
   }
 
+  /** A later run of a target stands in for those before. Tells whether that changes anything. */
+  boolean onRestarted(TargetId run) {
+    boolean takesOver = false;
+    for (TargetId id : List.copyOf(previousOwners.keySet())) {
+      if (run.isLaterRunOf(id)) {
+        PreviousOwner previous = previousOwners.remove(id);
+        previous.restart();
+        previousOwners.merge(run, previous, PreviousOwner::joinedWith);
+        takesOver = true;
+      }
+    }
+    if (run.isLaterRunOf(owner)) {
+      if (grantInFlight) {
+        assumeHeldUntil(inFlightUntilMs);
+        unansweredUntilMs = inFlightUntilMs;
+        grantInFlight = false;
+      }
+      owner = run;
+      granted = false;
+      nextGrantMs = 0;
+      takesOver = true;
+    }
+    return takesOver;
+  }
+
+  /**
+   * Takes another token unless this one was never sent in a grant.
+   *
+   * <p>Another run of the owner may answer under the same name. For that run it is no renewal but a
+   * first grant, and its token has to be above that of the run before.
+   */
+  void useFreshToken(LongSupplier tokens) {
+    if (tokenSent) {
+      token = tokens.getAsLong();
+    }
+    tokenSent = true;
+  }
+
   void renewSoon() {
     nextGrantMs = 0;
   }
@@ -166,6 +207,7 @@
   /** Goes on with the same owner under a higher token. */
   void restartWith(long newToken) {
     token = newToken;
+    tokenSent = false;
     stale = false;
     grantInFlight = false;
     nextGrantMs = 0;
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -95,7 +95,9 @@
     long leftMs = 0;
     for (LeaseLeft lease : leases) {
       boolean overlaps = lease.firstKey() <= range.last() && range.first() <= lease.lastKey();
-      if (overlaps && lease.target().equals(target) && lease.service().equals(service)) {
+      // That holder need not have noticed which run of the target took its grants.
+      boolean sameTarget = lease.target().name().equals(target.name());
+      if (overlaps && sameTarget && lease.service().equals(service)) {
         leftMs = Math.max(leftMs, lease.leftMs());
       }
     }
@@ -232,6 +234,25 @@
     ranges.forEach(held -> held.onGone(id));
   }
 
+  /**
+   * Learns that a target has started again under the name that it had.
+   *
+   * <p>The new run holds nothing of before, but orders for the one before may have reached it. So
+   * what that one may hold is put down to the new run, which can be asked: it gets its keys again
+   * at once under a higher token, or releases them.
+   *
+   * @param run the run that lives; not null
+   * @return whether it takes anything over
+   */
+  public boolean onRestarted(TargetId run) {
+    boolean takesOver = false;
+    for (HeldRange held : ranges) {
+      takesOver |= held.onRestarted(run);
+    }
+    routesChanged |= takesOver;
+    return takesOver;
+  }
+
   /**
    * Learns whether the store answers. If it does not, all leases are renewed at once and for
    * longer.
@@ -289,16 +310,18 @@
     for (Map.Entry<TargetId, PreviousOwner> entry : held.previousOwners().entrySet()) {
       if (entry.getValue().isReleaseDue(nowMs) && mayAsk.test(entry.getKey())) {
         entry.getValue().onReleaseSent();
-        orders.add(new LeaseOrder.Release(service, entry.getKey(), held.range(), held.token()));
+        orders.add(
+            new LeaseOrder.Release(service, entry.getKey(), held.range(), held.token(), outage));
       }
     }
   }
 
   private LeaseOrder.Grant grant(HeldRange held, long nowMs) {
+    held.useFreshToken(tokens);
     long leaseMs = outage ? timings.outageLeaseMs() : timings.leaseMs();
     held.onGrantSent(nowMs + timings.boundMs(leaseMs));
     return new LeaseOrder.Grant(
-        service, held.owner(), held.range(), held.token(), leaseMs, held.handover());
+        service, held.owner(), held.range(), held.token(), leaseMs, held.handover(), outage);
   }
 
   /**
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseOrder.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseOrder.java
@@ -39,6 +39,16 @@
    */
   long token();
 
+  /**
+   * Tells whether it may only go over a connection on which the target has answered before.
+   *
+   * <p>A holder that may have been replaced must not reach another run which has the name of the
+   * one that it knows: that run remembers no token by which it could refuse.
+   *
+   * @return true while the term is not confirmed
+   */
+  boolean sameRunOnly();
+
   /**
    * Grants or renews a lease.
    *
@@ -48,6 +58,7 @@
    * @param token the fencing token
    * @param leaseMs how long it runs; milliseconds
    * @param handover what the previous owner passed on; not null
+   * @param sameRunOnly see {@link LeaseOrder#sameRunOnly()}
    */
   record Grant(
       ServiceId service,
@@ -55,7 +66,8 @@
       KeyRange range,
       long token,
       long leaseMs,
-      Optional<String> handover)
+      Optional<String> handover,
+      boolean sameRunOnly)
       implements LeaseOrder {}
 
   /**
@@ -65,7 +77,9 @@
    * @param target the receiver; not null
    * @param range the keys; not null
    * @param token the fencing token of the next owner, so that late grants are refused
+   * @param sameRunOnly see {@link LeaseOrder#sameRunOnly()}
    */
-  record Release(ServiceId service, TargetId target, KeyRange range, long token)
+  record Release(
+      ServiceId service, TargetId target, KeyRange range, long token, boolean sameRunOnly)
       implements LeaseOrder {}
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
@@ -30,6 +30,14 @@
     return copy;
   }
 
+  /** Returns what holds for both of two that turn out to be the same target. */
+  PreviousOwner joinedWith(PreviousOwner other) {
+    return new PreviousOwner(
+        Math.max(heldUntilMs, other.heldUntilMs),
+        Math.max(foreignUntilMs, other.foreignUntilMs),
+        Math.max(unansweredUntilMs, other.unansweredUntilMs));
+  }
+
   /** A new token is in use: what was answered under the one before no longer counts. */
   void restart() {
     released = false;
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
@@ -34,6 +34,21 @@
     assertThat(register.all()).isEmpty();
   }
 
+  @Test
+  void theLaterRunOfOneTargetReplacesTheEarlierOne() {
+    register.put(target("a@10", TargetPhase.READY, 0));
+    assertThat(register.put(target("a@20", TargetPhase.READY, 0))).isTrue();
+    assertThat(register.runsOf(new TargetId("a"))).containsExactly(new TargetId("a@20"));
+  }
+
+  @Test
+  void theLateWordOfAnEarlierRunChangesNothing() {
+    register.put(target("a@20", TargetPhase.READY, 0));
+    assertThat(register.put(target("a@10", TargetPhase.DRAINING, 0))).isFalse();
+    assertThat(register.find(new TargetId("a@20")).orElseThrow().isReady()).isTrue();
+    assertThat(register.all()).hasSize(1);
+  }
+
   private static FleetTarget target(String id, TargetPhase phase, long coldMs) {
     return new FleetTarget(
         new TargetId(id),
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseFleet.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseFleet.java
@@ -25,6 +25,7 @@
 
   private final VirtualTime time;
   private final Consumer<LeaseTarget> onReplaced;
+  private final boolean namesAreUsedAgain;
 
   /** Every run there ever was. */
   private final Map<TargetId, LeaseTarget> runs = new LinkedHashMap<>();
@@ -36,8 +37,14 @@
 
   /** Creates the first runs; the caller learns which run has ended and was replaced. */
   LeaseFleet(VirtualTime time, Consumer<LeaseTarget> onReplaced) {
+    this(time, onReplaced, false);
+  }
+
+  /** The same; runs that start at the address of one of their service may have its name. */
+  LeaseFleet(VirtualTime time, Consumer<LeaseTarget> onReplaced, boolean namesAreUsedAgain) {
     this.time = time;
     this.onReplaced = onReplaced;
+    this.namesAreUsedAgain = namesAreUsedAgain;
     for (ServiceId service : SERVICES) {
       for (int i = 0; i < TARGETS; i++) {
         start(service, freshAddress(), 0);
@@ -45,6 +52,11 @@
     }
   }
 
+  /** Tells whether a run may have the name of one that ended, at the same address. */
+  boolean namesAreUsedAgain() {
+    return namesAreUsedAgain;
+  }
+
   Collection<LeaseTarget> runs() {
     return runs.values();
   }
@@ -96,7 +108,9 @@
   private void startNext(LeaseTarget ended, int fate) {
     ServiceId service = ended.service();
     boolean isFree = runAt(ended.address()).isEmpty();
-    if (isFree && fate < 6) {
+    if (isFree && fate < 6 && namesAreUsedAgain && time.draw(4) > 0) {
+      startAgain(ended, listingDelay());
+    } else if (isFree && fate < 6) {
       start(service, ended.address(), listingDelay());
     } else if (isFree && fate < 8) {
       ServiceId other = SERVICES.get(1 - SERVICES.indexOf(service));
@@ -129,14 +143,27 @@
 
   private LeaseTarget start(ServiceId service, String address, long listingDelayMs) {
     TargetId id = new TargetId("run-" + (runs.size() + 1));
+    LeaseTarget before = lastAt.get(address);
+    LeaseTarget next = start(id, service, address, listingDelayMs);
+    if (before != null) {
+      onReplaced.accept(before);
+    }
+    return next;
+  }
+
+  /** The next run has the address and the name of one that ended; its entry replaces that one's. */
+  LeaseTarget startAgain(LeaseTarget ended, long listingDelayMs) {
+    TargetId id = TargetId.ofRun(ended.id().name(), time.nowMs() + 1);
+    ended.end(Math.min(ended.listedUntilMs(), time.nowMs() + listingDelayMs));
+    return start(id, ended.service(), ended.address(), listingDelayMs);
+  }
+
+  private LeaseTarget start(TargetId id, ServiceId service, String address, long listingDelayMs) {
     double clockRate = time.onceIn(3) ? SLOWEST_CLOCK : 1 + time.share() * (SLOWEST_CLOCK - 1);
     LeaseTarget next =
         new LeaseTarget(id, service, address, clockRate, time.nowMs() + listingDelayMs);
     runs.put(id, next);
-    LeaseTarget before = lastAt.put(address, next);
-    if (before != null) {
-      onReplaced.accept(before);
-    }
+    lastAt.put(address, next);
     return next;
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
@@ -30,6 +30,7 @@
   private final LeaseStore store;
   private final Map<ServiceId, LeaseDesk> desks = new LinkedHashMap<>();
   private final Set<TargetId> gone = new HashSet<>();
+  private final Set<LeaseTarget> answeredBy = new HashSet<>();
   private final Map<TargetId, String> storedAddresses = new HashMap<>();
   private final long term;
   private final long startedMs;
@@ -118,7 +119,9 @@
   }
 
   private void decide(ServiceId service, LeaseDesk desk) {
-    desk.setOutage(!storeReachable);
+    // Who may take a name over has to know: no other holder is there while the term is confirmed.
+    boolean unconfirmed = fleet.namesAreUsedAgain() && stopsAtMs < Long.MAX_VALUE;
+    desk.setOutage(!storeReachable || unconfirmed);
     List<LeaseTarget> usable = usable(service);
     if (usable.isEmpty()) {
       return;
@@ -126,6 +129,7 @@
     if (!desk.isPartitioned()) {
       desk.partition(usable.stream().map(LeaseHolder::listed).toList());
     }
+    usable.forEach(run -> desk.onRestarted(run.id()));
     Set<TargetId> ids = usable.stream().map(LeaseTarget::id).collect(Collectors.toSet());
     desk.rangesOfOthers(ids::contains).forEach(keys -> moveAnywhere(desk, keys, usable));
     if (time.onceIn(20)) {
@@ -219,7 +223,24 @@
       time.later(time.between(1, 60), () -> end(desk, order, OrderOutcome.NOT_SENT, sentMs));
       return;
     }
-    network.send(order, address.get(), outcome -> end(desk, order, outcome, sentMs));
+    if (order.sameRunOnly() && !isConnected(address)) {
+      time.later(1, () -> end(desk, order, OrderOutcome.NOT_SENT, sentMs));
+      return;
+    }
+    Optional<LeaseTarget> reached = fleet.runAt(address.get());
+    network.send(
+        order,
+        address.get(),
+        outcome -> {
+          reached.filter(run -> outcome == OrderOutcome.DONE).ifPresent(answeredBy::add);
+          end(desk, order, outcome, sentMs);
+        });
+  }
+
+  /** Connections end with the run that they lead to. */
+  private boolean isConnected(Optional<String> address) {
+    return !fleet.namesAreUsedAgain()
+        || address.flatMap(fleet::runAt).filter(answeredBy::contains).isPresent();
   }
 
   /** Knows a target that it has seen listed, or whose address an earlier holder wrote. */
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseNetwork.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseNetwork.java
@@ -76,7 +76,7 @@
     if (run.isEnded()) {
       return OrderOutcome.UNANSWERED;
     }
-    if (targetsAreNamed && !run.id().equals(order.target())) {
+    if (targetsAreNamed && !run.isMeant(order.target())) {
       refusedGrants += order instanceof LeaseOrder.Grant ? 1 : 0;
       refusedReleases += order instanceof LeaseOrder.Release ? 1 : 0;
     }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseRestartTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseRestartTest.java
@@ -4,6 +4,7 @@
 
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.lease.LeasePromises.Violation;
+import java.util.function.Predicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
@@ -18,20 +19,62 @@
  * that it was another one, and the holder believed an answer that was not that of its target. The
  * generated schedules missed it: there, orders were delivered by the target's id.
  *
- * <p>Proof: the same schedule with orders that name no target breaks the promise, also towards the
- * keys of another service whose run takes the address; with orders that name it nothing is broken.
+ * <p>Proof: the same schedule with orders that name no target broke the promise, and still breaks
+ * the one on keys of another service whose run takes the address; with orders that name it nothing
+ * is broken. Since then each grant has a token of its own: where the next run has the same name,
+ * that alone keeps the promise.
  */
 class LeaseRestartTest {
 
   private static final ServiceId SERVICE = LeaseFleet.SERVICES.get(0);
   private static final ServiceId OTHER_SERVICE = LeaseFleet.SERVICES.get(1);
   private static final long STEP_MS = 25;
+
+  /** Users expect keys of a lost target to be served again within this time. */
+  private static final long WITHIN_MS = 1_000;
+
   private static final long LISTED_FOR_MS = 6_000;
 
+  /** No name tells two runs apart that have the same one; then the token still does. */
+  @Test
+  void renewalsThatReachTheNextRunHaveTokensAboveThoseOfTheRunBefore() {
+    LeasePromises promises = restart(SERVICE, false);
+    assertThat(promises.ownedAtMost()).isEqualTo(LeaseTarget.SAMPLES);
+    assertThat(promises.violations())
+        .doesNotContainKey(Violation.TOKEN_NOT_ABOVE_THAT_OF_ANOTHER_RUN);
+  }
+
   @Test
-  void renewalsWithoutNameReachTheNextRunUnderTheSameToken() {
-    assertThat(restart(SERVICE, false).violations())
-        .containsKey(Violation.TOKEN_NOT_ABOVE_THAT_OF_ANOTHER_RUN);
+  void targetsThatStartAgainUnderTheirNameGetTheirKeysAgain() {
+    VirtualTime time = new VirtualTime(1);
+    LeaseFleet fleet = new LeaseFleet(time, ended -> {}, true);
+    LeasePromises promises = new LeasePromises(LeaseFleet.SERVICES);
+    LeaseNetwork network = new LeaseNetwork(time, fleet, promises, true);
+    LeaseHolder holder = new LeaseHolder(1, time, fleet, network, new LeaseStore());
+    pass(3_000, time, holder, fleet, promises);
+    LeaseTarget owner = fleet.living().get(0);
+    int sample = anyHeldBy(owner, time);
+    owner.end(time.nowMs());
+    LeaseTarget next = fleet.startAgain(owner, 0);
+    long waitedMs = 0;
+    while (waitedMs < LISTED_FOR_MS && fleet.living().stream().noneMatch(holds(sample, time))) {
+      pass(STEP_MS, time, holder, fleet, promises);
+      waitedMs += STEP_MS;
+    }
+    assertThat(promises.violations()).isEmpty();
+    assertThat(next.isEnded()).isFalse();
+    assertThat(waitedMs).isAtMost(WITHIN_MS);
+  }
+
+  private static int anyHeldBy(LeaseTarget owner, VirtualTime time) {
+    return IntStream.range(0, LeaseTarget.SAMPLES)
+        .filter(sample -> owner.holds(sample, time.nowMs()))
+        .findFirst()
+        .orElseThrow();
+  }
+
+  private static Predicate<LeaseTarget> holds(int sample, VirtualTime time) {
+    return run -> run.holds(sample, time.nowMs());
   }
 
   @Test
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.core.lease.LeasePromises.Violation;
 import io.cuminvalve.core.lease.LeaseWorld.Trouble;
 import java.util.EnumSet;
+import java.util.HashSet;
 import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -20,6 +21,7 @@
 
   private static final long DURATION_MS = 60_000;
   private static final long FIXED_SEEDS = 8;
+  private static final long SEED_WITHOUT_RELEASES = 6;
 
   @Property(tries = 150, seed = "7")
   void noKeyHasTwoOwners(@ForAll long seed) {
@@ -45,22 +47,43 @@
     assertThat(world.promises().ownedAtMost()).isGreaterThan(LeaseTarget.SAMPLES / 2);
   }
 
-  /** The checks bite: without names each promise is broken, and some promise in every schedule. */
+  /**
+   * A target starts again under its name: what the holder sends to the run before reaches the next
+   * one, and neither can tell.
+   */
+  @Property(tries = 150, seed = "11")
+  void noKeyHasTwoOwnersThoughNamesAreUsedAgain(@ForAll long seed) {
+    LeaseWorld world = new LeaseWorld(seed, true, true);
+    world.run(DURATION_MS);
+    assertWithMessage("violations").that(world.promises().violations()).isEmpty();
+    assertThat(world.promises().ownedAtMost()).isGreaterThan(LeaseTarget.SAMPLES / 2);
+  }
+
+  /**
+   * The checks bite: without names each promise is broken, and some promise in all but one of the
+   * schedules. In that one (seed 4) each run that takes an order of another one is of the same
+   * service and gets a token above all that were used before, which breaks nothing.
+   */
   @Example
   void ordersThatNameNoTargetBreakEveryPromise() {
     Set<Violation> seen = EnumSet.noneOf(Violation.class);
+    Set<Long> harmless = new HashSet<>();
     for (long seed = 0; seed < FIXED_SEEDS; seed++) {
       LeaseWorld world = new LeaseWorld(seed, false);
       world.run(DURATION_MS);
-      assertWithMessage("violations with seed %s", seed)
-          .that(world.promises().violations())
-          .isNotEmpty();
+      if (world.promises().violations().isEmpty()) {
+        harmless.add(seed);
+      }
       seen.addAll(world.promises().violations().keySet());
     }
+    assertThat(harmless).containsExactly(4L);
     assertThat(seen).containsExactlyElementsIn(Violation.values());
   }
 
-  /** The schedules get to the point: every trouble comes up, and orders for ended runs arrive. */
+  /**
+   * The schedules get to the point: every trouble comes up, and orders for ended runs arrive. In
+   * one of them (seed 6) all those are grants: no release is due while another run has the address.
+   */
   @Example
   void everyTroubleComesUpAndOrdersReachOtherRuns() {
     Set<Trouble> seen = EnumSet.noneOf(Trouble.class);
@@ -68,7 +91,9 @@
       LeaseWorld world = new LeaseWorld(seed, true);
       world.run(DURATION_MS);
       assertThat(world.network().refusedGrants()).isGreaterThan(0);
-      assertThat(world.network().refusedReleases()).isGreaterThan(0);
+      if (seed != SEED_WITHOUT_RELEASES) {
+        assertThat(world.network().refusedReleases()).isGreaterThan(0);
+      }
       seen.addAll(world.troubles());
     }
     assertThat(seen).containsExactlyElementsIn(Trouble.values());
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseTarget.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseTarget.java
@@ -45,6 +45,10 @@
     return address;
   }
 
+  long listedUntilMs() {
+    return listedUntilMs;
+  }
+
   /** Tells whether the registry lists this run at some time of these. */
   boolean isListed(long fromMs, long untilMs) {
     return listedFromMs <= untilMs && fromMs < listedUntilMs;
@@ -52,7 +56,7 @@
 
   /** Carries an order out; a lease runs since it arrived. What is named is looked at if it is. */
   OrderOutcome carryOut(LeaseOrder order, boolean named, long arrivedMs) {
-    if (named && !order.target().equals(id)) {
+    if (named && !isMeant(order.target())) {
       return OrderOutcome.OTHER_TARGET;
     }
     if (order instanceof LeaseOrder.Grant grant) {
@@ -61,6 +65,11 @@
     return release((LeaseOrder.Release) order);
   }
 
+  /** On the way to a run its name alone counts: a later run of the same target takes it too. */
+  boolean isMeant(TargetId target) {
+    return target.name().equals(id.name());
+  }
+
   private OrderOutcome grant(LeaseOrder.Grant order, long arrivedMs) {
     for (int i = 0; i < SAMPLES; i++) {
       if (order.range().contains(i * STEP) && seenTokens[i] > order.token()) {
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
@@ -26,6 +26,7 @@
   private static final long STEP_MS = 25;
 
   private final VirtualTime time;
+  private final boolean namesAreUsedAgain;
   private final LeaseFleet fleet;
   private final LeaseNetwork network;
   private final LeaseStore store = new LeaseStore();
@@ -35,8 +36,14 @@
 
   /** Creates a world in which orders name their targets, or give nothing but an address. */
   LeaseWorld(long seed, boolean targetsAreNamed) {
+    this(seed, targetsAreNamed, false);
+  }
+
+  /** The same; targets may start again under the names that they had. */
+  LeaseWorld(long seed, boolean targetsAreNamed, boolean namesAreUsedAgain) {
     time = new VirtualTime(seed);
-    fleet = new LeaseFleet(time, this::tellReplaced);
+    this.namesAreUsedAgain = namesAreUsedAgain;
+    fleet = new LeaseFleet(time, this::tellReplaced, namesAreUsedAgain);
     network = new LeaseNetwork(time, fleet, promises, targetsAreNamed);
   }
 
@@ -97,7 +104,8 @@
     switch (trouble) {
       case ONE_RESTARTS -> {
         fleet.restart(run);
-        if (time.onceIn(2)) {
+        // Nobody but a run of another name tells that this one has ended.
+        if (!namesAreUsedAgain && time.onceIn(2)) {
           holders.forEach(holder -> holder.onGone(run.id()));
         }
       }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -57,8 +57,13 @@
 
   private static final long TICK_MS = 50;
 
-  /** Room for tokens within one term. */
-  private static final int TOKEN_BITS = 20;
+  /**
+   * Room for tokens within one term: each grant takes one, at most 200 a second, which lasts for 23
+   * hours; then the term ends, and the next one has as much room.
+   */
+  private static final int TOKEN_BITS = 24;
+
+  private static final long MOST_TOKENS = (1L << TOKEN_BITS) - 1_000_000;
 
   /**
    * Pause between two changes of owners that are told, for each gateway: each gets its own copy.
@@ -275,11 +280,19 @@
     }
     List<FleetTarget> targets = follower.register().all();
     targets.forEach(target -> lastAddresses.put(target.id(), target.address()));
+    targets.forEach(this::noteRestart);
     state.update(snapshot -> snapshot.withTargets(targets));
     audience.onTargets(term, follower.register().version(), targets);
     act();
   }
 
+  private void noteRestart(FleetTarget target) {
+    ServiceDuties service = duties.get(target.service());
+    if (service != null && service.desk().onRestarted(target.id())) {
+      log.write("target_restarted", "target={} service={}", target.id(), target.service());
+    }
+  }
+
   private void noteFirstSeen() {
     listings++;
     for (FleetTarget target : follower.register().all()) {
@@ -327,6 +340,10 @@
     if (!ready || !follower.isListed()) {
       return;
     }
+    if (tokenCount > MOST_TOKENS) {
+      termLease.renounce("tokens_used_up");
+      return;
+    }
     long nowMs = clock.nowMs();
     state.current().configuration().ifPresent(this::addServices);
     for (ServiceDuties service : duties.values()) {
@@ -377,6 +394,7 @@
     if (table != null && !table.assignments().isEmpty()) {
       desk.takeOver(table, clock.nowMs(), startedMs + timings.foreignLeaseMs());
       limitForeignLeases(desk);
+      follower.register().of(id).forEach(target -> desk.onRestarted(target.id()));
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
     return new ServiceDuties(id, desk, log, clock.nowMs());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -124,6 +124,7 @@
       return;
     }
     onAnswer();
+    logUnreadable(listing.unreadable());
     revision = listing.revision();
     listed = true;
     Set<TargetId> present = new HashSet<>();
@@ -205,7 +206,13 @@
     answeredMs = nowMs;
   }
 
+  /** Such an entry names no target; what was known of others holds. */
+  private void logUnreadable(List<String> entries) {
+    entries.forEach(entry -> log.write("registration_unreadable", "entry=\"{}\"", entry));
+  }
+
   private void take(RegistryChanges changes) {
+    logUnreadable(changes.unreadable());
     revision = Math.max(revision, changes.revision());
     boolean changed = false;
     for (FleetTarget target : changes.written()) {
@@ -226,8 +233,10 @@
             target.coldMs());
       }
     }
-    for (TargetId id : changes.removed()) {
-      removeAtMs.putIfAbsent(id, Math.max(clock.nowMs(), keepUntilMs));
+    for (TargetId gone : changes.removed()) {
+      for (TargetId run : register.runsOf(gone)) {
+        removeAtMs.putIfAbsent(run, Math.max(clock.nowMs(), keepUntilMs));
+      }
     }
     tell(changed | removeDue());
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -180,8 +180,17 @@
 
   /** Another process has proved that it holds a later term. */
   public void onReplaced() {
+    renounce("replaced");
+  }
+
+  /**
+   * Gives the term up, if this process holds it; it may take a later one.
+   *
+   * @param why for the log; not null
+   */
+  public void renounce(String why) {
     if (holding) {
-      lose("replaced");
+      lose(why);
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -75,7 +75,7 @@
         new InetSocketAddress(
             address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     HttpFields.Mutable headers = HttpFields.build(call.headers());
-    headers.put(services.headers().targetId(), slot.target().id().value());
+    headers.put(services.headers().targetId(), slot.target().id().name());
     return new TargetRequest(
         socketAddress,
         call.request().getMethod(),
@@ -164,7 +164,7 @@
   /** Its address may belong to another target by now: then nothing more may go there. */
   private void noteOtherTarget(HttpFields headers) {
     String answering = headers.get(services.headers().answeringTarget());
-    if (answering != null && !answering.equals(slot.target().id().value())) {
+    if (answering != null && !answering.equals(slot.target().id().name())) {
       services.dispatcher().onReplaced(slot.target().id());
     }
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -112,7 +112,7 @@
 
     @Override
     public CompletableFuture<RegistryListing> list() {
-      RegistryListing listing = new RegistryListing(true, List.of(TARGET), 1);
+      RegistryListing listing = new RegistryListing(true, List.of(TARGET), List.of(), 1);
       return CompletableFuture.completedFuture(answers ? listing : RegistryListing.unavailable());
     }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryFollowerTest.java
@@ -58,7 +58,8 @@
     news.take();
     registry.waits.take();
     registry.answer(
-        new RegistryChanges(RegistryChanges.Status.ANSWERED, List.of(B), List.of(A.id()), 9));
+        new RegistryChanges(
+            RegistryChanges.Status.ANSWERED, List.of(B), List.of(A.id()), List.of(), 9));
     news.take();
     assertThat(follower.register().all()).containsExactly(B);
   }
@@ -73,11 +74,26 @@
     registry.waits.take();
     nowMs.addAndGet(5_000);
     registry.answer(
-        new RegistryChanges(RegistryChanges.Status.ANSWERED, List.of(), List.of(A.id()), 9));
+        new RegistryChanges(
+            RegistryChanges.Status.ANSWERED, List.of(), List.of(A.id()), List.of(), 9));
     registry.waits.take();
     assertThat(follower.register().all()).containsExactly(A);
     nowMs.addAndGet(5_000);
-    registry.answer(new RegistryChanges(RegistryChanges.Status.ANSWERED, List.of(), List.of(), 10));
+    registry.answer(
+        new RegistryChanges(RegistryChanges.Status.ANSWERED, List.of(), List.of(), List.of(), 10));
+    news.take();
+    assertThat(follower.register().all()).isEmpty();
+  }
+
+  @Test
+  void theRemovedEntryIsThatOfWhicheverRunIsKnown() throws InterruptedException {
+    registry.listed = List.of(target("a@10"));
+    control.execute(follower::start);
+    news.take();
+    registry.waits.take();
+    registry.answer(
+        new RegistryChanges(
+            RegistryChanges.Status.ANSWERED, List.of(), List.of(A.id()), List.of(), 9));
     news.take();
     assertThat(follower.register().all()).isEmpty();
   }
@@ -102,7 +118,7 @@
 
     @Override
     public CompletableFuture<RegistryListing> list() {
-      return CompletableFuture.completedFuture(new RegistryListing(true, listed, 1));
+      return CompletableFuture.completedFuture(new RegistryListing(true, listed, List.of(), 1));
     }
 
     @Override
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -253,7 +253,8 @@
 
           @Override
           public CompletableFuture<RegistryListing> list() {
-            return CompletableFuture.completedFuture(new RegistryListing(true, List.of(target), 1));
+            return CompletableFuture.completedFuture(
+                new RegistryListing(true, List.of(target), List.of(), 1));
           }
 
           @Override
@@ -267,7 +268,11 @@
             } else {
               answer.complete(
                   new RegistryChanges(
-                      RegistryChanges.Status.ANSWERED, List.of(), List.of(target.id()), 9));
+                      RegistryChanges.Status.ANSWERED,
+                      List.of(),
+                      List.of(target.id()),
+                      List.of(),
+                      9));
             }
             return answer;
           }
@@ -288,7 +293,8 @@
         new TargetRegistry() {
           @Override
           public CompletableFuture<RegistryListing> list() {
-            return CompletableFuture.completedFuture(new RegistryListing(true, List.of(), 1));
+            return CompletableFuture.completedFuture(
+                new RegistryListing(true, List.of(), List.of(), 1));
           }
 
           @Override
@@ -300,6 +306,7 @@
                     RegistryChanges.Status.ANSWERED,
                     List.of(target("target-" + call)),
                     List.of(),
+                    List.of(),
                     call + 1);
             clock.schedule(waitMs + 1_000, () -> answer.complete(news));
             return answer;
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/fleet/RegistryChanges.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/fleet/RegistryChanges.java
@@ -9,12 +9,17 @@
  *
  * @param status whether the rest can be used; not null
  * @param written registrations that are new or were rewritten, the last state of each; not null
- * @param removed targets whose registration is gone; not null
+ * @param removed targets whose registration is gone, whichever run wrote it; not null
+ * @param unreadable entries that name no target, each with the reason; not null
  * @param revision the revision to go on from
  * @since 0.2
  */
 public record RegistryChanges(
-    Status status, List<FleetTarget> written, List<TargetId> removed, long revision) {
+    Status status,
+    List<FleetTarget> written,
+    List<TargetId> removed,
+    List<String> unreadable,
+    long revision) {
 
   /** Whether there is an answer. */
   public enum Status {
@@ -30,6 +35,7 @@
   public RegistryChanges {
     written = List.copyOf(written);
     removed = List.copyOf(removed);
+    unreadable = List.copyOf(unreadable);
   }
 
   /**
@@ -39,6 +45,6 @@
    * @return never null
    */
   public static RegistryChanges none(Status status) {
-    return new RegistryChanges(status, List.of(), List.of(), 0);
+    return new RegistryChanges(status, List.of(), List.of(), List.of(), 0);
   }
 }
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/fleet/RegistryListing.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/fleet/RegistryListing.java
@@ -8,14 +8,17 @@
  *
  * @param available false if the registry did not answer; then the rest is empty
  * @param targets every registration that can be understood; not null
+ * @param unreadable entries that name no target, each with the reason; not null
  * @param revision changes after this one are not included
  * @since 0.2
  */
-public record RegistryListing(boolean available, List<FleetTarget> targets, long revision) {
+public record RegistryListing(
+    boolean available, List<FleetTarget> targets, List<String> unreadable, long revision) {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public RegistryListing {
     targets = List.copyOf(targets);
+    unreadable = List.copyOf(unreadable);
   }
 
   /**
@@ -24,6 +27,6 @@
    * @return never null
    */
   public static RegistryListing unavailable() {
-    return new RegistryListing(false, List.of(), 0);
+    return new RegistryListing(false, List.of(), List.of(), 0);
   }
 }
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -126,9 +126,47 @@
       String contentType,
       byte[] body,
       long timeoutMs) {
+    return send(newRequest(method, url, headers, contentType, body), timeoutMs);
+  }
+
+  /**
+   * Makes the same call, but only over a connection on which an earlier call was answered. If there
+   * is none, nothing is sent.
+   *
+   * @param method the HTTP method; not null
+   * @param url where to; not null
+   * @param headers by name, besides those that every call has; not null
+   * @param contentType the media type of the body; not null
+   * @param body the body; not null
+   * @param timeoutMs bound on the whole call; milliseconds
+   * @return never null
+   */
+  public CompletableFuture<HttpAnswer> callOverKnownConnection(
+      String method,
+      String url,
+      Map<String, String> headers,
+      String contentType,
+      byte[] body,
+      long timeoutMs) {
+    Request request = newRequest(method, url, headers, contentType, body);
+    request.onRequestBegin(HttpCaller::abortOnNewConnection);
+    return send(request, timeoutMs);
+  }
+
+  private static void abortOnNewConnection(Request request) {
+    boolean known =
+        request.getConnection() instanceof org.eclipse.jetty.io.Connection used
+            && used.getMessagesIn() > 0;
+    if (!known) {
+      request.abort(new UnknownConnectionException());
+    }
+  }
+
+  private Request newRequest(
+      String method, String url, Map<String, String> headers, String contentType, byte[] body) {
     Request request = client.newRequest(url).method(method);
     request.headers(fields -> headers.forEach(fields::put));
-    return send(request.body(new BytesRequestContent(contentType, body)), timeoutMs);
+    return request.body(new BytesRequestContent(contentType, body));
   }
 
   /**
@@ -179,7 +217,7 @@
     if (isRefused(result.getFailure())) {
       return HttpAnswer.failed(HttpAnswer.Kind.REFUSED);
     }
-    if (!begun) {
+    if (!begun || result.getFailure() instanceof UnknownConnectionException) {
       return HttpAnswer.failed(HttpAnswer.Kind.NOT_SENT);
     }
     boolean late = result.getFailure() instanceof TimeoutException;
@@ -195,4 +233,14 @@
     }
     return false;
   }
+
+  /** Nothing was sent: no call was answered yet on the connection at hand. */
+  private static final class UnknownConnectionException extends RuntimeException {
+
+    private static final long serialVersionUID = 1;
+
+    UnknownConnectionException() {
+      super("no call was answered on this connection", null, false, false);
+    }
+  }
 }
--- a/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
@@ -9,7 +9,10 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -68,6 +71,51 @@
     assertThat(arrived).isEqualTo("nothing");
   }
 
+  /** Behind a new connection may be another run of whom the call is for. */
+  @Test
+  void callsForKnownConnectionsAreSentOverNoOther() {
+    List<String> served = new CopyOnWriteArrayList<>();
+    Thread answering = new Thread(() -> answerAll(served));
+    answering.setDaemon(true);
+    answering.start();
+    assertThat(callOverKnownConnection().join().kind()).isEqualTo(HttpAnswer.Kind.NOT_SENT);
+    assertThat(served).isEmpty();
+    assertThat(call("/first").join().kind()).isEqualTo(HttpAnswer.Kind.ANSWERED);
+    assertThat(callOverKnownConnection().join().kind()).isEqualTo(HttpAnswer.Kind.ANSWERED);
+    assertThat(served).hasSize(2);
+  }
+
+  /** Answers every request on every connection, until the server is closed. */
+  private void answerAll(List<String> served) {
+    try {
+      while (true) {
+        Socket accepted = server.accept();
+        Thread answering = new Thread(() -> answerOn(accepted, served));
+        answering.setDaemon(true);
+        answering.start();
+      }
+    } catch (IOException closed) {
+      // The test is over.
+    }
+  }
+
+  private static void answerOn(Socket accepted, List<String> served) {
+    try (accepted) {
+      while (true) {
+        served.add(readHead(accepted));
+        accepted.getOutputStream().write(ANSWER);
+      }
+    } catch (IOException closed) {
+      // The caller is done with this connection.
+    }
+  }
+
+  private CompletableFuture<HttpAnswer> callOverKnownConnection() {
+    String url = "http://127.0.0.1:" + server.getLocalPort() + "/known";
+    return caller.callOverKnownConnection(
+        "POST", url, Map.of(), "text/plain", new byte[0], BOUND_MS);
+  }
+
   @Test
   void callsThatWaitAreNotIdle() throws IOException {
     final CompletableFuture<HttpAnswer> waiting = call("/wait");
@@ -90,6 +138,11 @@
   /** Takes a connection, and from it the head of a request. */
   private Socket accept() throws IOException {
     Socket accepted = server.accept();
+    readHead(accepted);
+    return accepted;
+  }
+
+  private static String readHead(Socket accepted) throws IOException {
     InputStream in = accepted.getInputStream();
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
@@ -99,7 +152,7 @@
       }
       head.append((char) next);
     }
-    return accepted;
+    return head.toString();
   }
 
   /** Waits until the caller has closed the connection, which it does with a reset. */
