Count the bytes of answers when a target in another data centre is weighed

Hypothesis: downloads that stay at home cost no time, since targets at home are not busy. Change: the mean size of a route's answers counts like the body. DispatcherTest.largeAnswersStayLikeLargeBodies.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -43,10 +43,11 @@
   private static final double REMOTE_COST = 1.25;
 
   /**
-   * Bytes between data centres are paid for: a body of this size doubles that cost. An upload of 60
-   * KB that crosses costs a fifth of what its answer is worth.
+   * Bytes between data centres are paid for: so many, of the request and its answer together, add as
+   * much again. An upload of 60 KB that crosses costs a fifth of what its answer is worth. How large
+   * an answer will be is not known; the mean of its route is.
    */
-  private static final double REMOTE_BODY_BYTES = 40_000;
+  private static final double REMOTE_BYTES = 40_000;
 
   /** Costs differ by up to this share at random, so that gateways do not all choose the same. */
   private static final double SPREAD = 0.2;
@@ -61,6 +62,7 @@
   private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
   private final Map<ServiceId, PriorityQueue<PlacementWish>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeByRouteMs = new HashMap<>();
+  private final Map<String, Double> meanAnswerByRouteBytes = new HashMap<>();
   private final Set<TargetId> replaced = new HashSet<>();
   private final List<TargetId> replacedUnreported = new ArrayList<>();
   private long nextOrder;
@@ -134,6 +136,7 @@
       TargetSlots slots = slotsOf(slot.target(), state.current());
       slots.giveBack();
       learn(slots, wish.route().name(), end, tookMs);
+      learnSize(wish);
     }
     serveWaiting(slot.target().service());
   }
@@ -172,6 +175,16 @@
     }
   }
 
+  private void learnSize(PlacementWish wish) {
+    wish.answerBytes()
+        .ifPresent(
+            bytes ->
+                meanAnswerByRouteBytes.merge(
+                    wish.route().name(),
+                    (double) bytes,
+                    (mean, newest) -> mean + NEWEST * (newest - mean)));
+  }
+
   private void onRoutingChanged() {
     List<ServiceId> services;
     synchronized (this) {
@@ -253,8 +266,9 @@
     return Optional.ofNullable(best);
   }
 
-  private static double remoteCost(PlacementWish wish) {
-    return REMOTE_COST + wish.bodyBytes() / REMOTE_BODY_BYTES;
+  private double remoteCost(PlacementWish wish) {
+    double answerBytes = meanAnswerByRouteBytes.getOrDefault(wish.route().name(), 0.0);
+    return REMOTE_COST + (wish.bodyBytes() + answerBytes) / REMOTE_BYTES;
   }
 
   /** Targets tried before and those in a pause; none of them if there is no other. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
@@ -19,6 +19,7 @@
   private final Consumer<Slot> onPlaced;
   private final Set<TargetId> tried = new HashSet<>();
   private long order;
+  private volatile OptionalInt answerBytes = OptionalInt.empty();
   private OwnersVersion placedUnder = OwnersVersion.NONE;
   private Optional<OwnersVersion> avoided = Optional.empty();
 
@@ -48,6 +49,16 @@
     return bodyBytes;
   }
 
+  /** Notes the size of a whole answer; bytes. */
+  void answered(int bytes) {
+    answerBytes = OptionalInt.of(bytes);
+  }
+
+  /** Returns the size of the answer, if there is one; bytes. */
+  OptionalInt answerBytes() {
+    return answerBytes;
+  }
+
   Set<TargetId> tried() {
     return tried;
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -156,6 +156,7 @@
       return;
     }
     end = answer.status() < FIRST_ERROR_STATUS ? AttemptEnd.ANSWERED : AttemptEnd.FAILED;
+    wish.answered(body.length);
     if (ended.compareAndSet(false, true)) {
       listener.onAnswer(this, answer.status(), answer.headers(), body);
     }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -50,6 +50,21 @@
     assertThat(slots.get(2).target().id()).isEqualTo(FAR);
   }
 
+  /** Downloads: small requests whose answers are large. */
+  @Test
+  void largeAnswersStayLikeLargeBodies() {
+    targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
+    PlacementWish first = submit("download", 1, OptionalInt.empty());
+    submit("download", 1, OptionalInt.empty());
+    assertThat(slots.get(1).target().id()).isEqualTo(FAR);
+    first.answered(100_000);
+    dispatcher.giveBack(slots.get(0), first, AttemptEnd.ANSWERED, 100);
+    submit("download", 1, OptionalInt.empty());
+    submit("download", 1, OptionalInt.empty());
+    assertThat(slots.get(2).target().id()).isEqualTo(NEAR);
+    assertThat(slots.get(3).target().id()).isEqualTo(NEAR);
+  }
+
   @Test
   void theOwnerOfTheKeyGetsItAsSoonAsItHasItsLease() {
     targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
