Begin no moves that only even out load while the store does not answer

Hypothesis: load that is uneven costs less than keys that are closed. Change: a service's keys are evened out only while the store confirms the term and no write is under way; keys of targets that leave move as before. ServiceDutiesTest.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -346,10 +346,11 @@
     }
     long nowMs = clock.nowMs();
     state.current().configuration().ifPresent(this::addServices);
+    boolean outage = termLease.isOutage();
+    boolean storeAnswers = !outage && !ownership.isWriting();
     for (ServiceDuties service : duties.values()) {
-      service.plan(follower.register(), state.current().processes(), nowMs);
+      service.plan(follower.register(), state.current().processes(), storeAnswers, nowMs);
     }
-    boolean outage = termLease.isOutage();
     duties.values().forEach(service -> service.desk().setOutage(outage));
     renewStaleTokens(nowMs);
     writeIfNeeded(nowMs);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -128,7 +128,14 @@
     }
   }
 
-  void plan(TargetRegister register, int gateways, long nowMs) {
+  /**
+   * Decides what has to be moved.
+   *
+   * @param storeAnswers whether a move can be written now: until it is, its keys are closed. Moves
+   *     that only even out load wait for that. In a day on which the store was away for 8 s, they
+   *     kept 0.8% of all requests from being served
+   */
+  void plan(TargetRegister register, int gateways, boolean storeAnswers, long nowMs) {
     List<FleetTarget> ready = new ArrayList<>(register.of(service));
     ready.removeIf(target -> !target.isReady());
     if (ready.size() != lastTargetCount) {
@@ -148,7 +155,9 @@
       loads.decay(nowMs);
       desk.joinNeighbours(nowMs);
       List<TargetLoad> targets = targetLoads(ready, nowMs);
-      balance(targets, nowMs);
+      if (storeAnswers) {
+        balance(targets, nowMs);
+      }
       refuseExcess(targets, gateways);
     }
   }
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServiceDutiesTest.java
@@ -0,0 +1,77 @@
+package io.cuminvalve.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.fleet.TargetRegister;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.LeaseDesk;
+import io.cuminvalve.core.lease.LeaseOrder;
+import io.cuminvalve.core.lease.LeaseTimings;
+import io.cuminvalve.core.lease.OrderOutcome;
+import io.cuminvalve.core.protocol.KeyLoadReport;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Load that is uneven, and targets that leave, while the store answers and while it does not. */
+class ServiceDutiesTest {
+
+  private static final ServiceId SERVICE = new ServiceId("core");
+  private static final LeaseTimings TIMINGS =
+      new LeaseTimings(4_000, 10_000, 1_000, 1_800, 5, 200, 0.02, 150, 9_500);
+  private static final long SETTLED_MS = 10_000;
+  private static final int BUSY_KEYS = 40;
+  private static final int WORK_MS = 300;
+
+  private final TargetRegister register = new TargetRegister();
+  private long tokens;
+  private final LeaseDesk desk = new LeaseDesk(SERVICE, TIMINGS, () -> ++tokens);
+  private final ServiceDuties duties =
+      new ServiceDuties(SERVICE, desk, new DecisionLog(() -> 0, 100, line -> {}), 0);
+
+  @BeforeEach
+  void assignKeys() {
+    register.put(target("a", TargetPhase.READY));
+    register.put(target("b", TargetPhase.READY));
+    duties.plan(register, 3, true, SETTLED_MS);
+    desk.onWritten(desk.version());
+    for (LeaseOrder order : desk.due(SETTLED_MS, target -> true)) {
+      desk.onGrantEnded((LeaseOrder.Grant) order, OrderOutcome.DONE, SETTLED_MS, SETTLED_MS);
+    }
+    duties.plan(register, 3, true, SETTLED_MS);
+    int[] keys = IntStream.range(0, BUSY_KEYS).toArray();
+    int[] workMs = IntStream.range(0, BUSY_KEYS).map(key -> WORK_MS).toArray();
+    duties.onKeyWork(new KeyLoadReport(SERVICE, keys, workMs));
+  }
+
+  @Test
+  void unevenLoadIsEvenedOut() {
+    duties.plan(register, 3, true, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isTrue();
+  }
+
+  /** A move closes its keys until it is written, which may take as long as the outage. */
+  @Test
+  void unevenLoadIsLeftAloneWhileTheStoreDoesNotAnswer() {
+    duties.plan(register, 3, false, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isFalse();
+    assertThat(desk.routes().stream().allMatch(route -> route.open())).isTrue();
+  }
+
+  @Test
+  void keysOfTargetsThatLeaveAreMovedInAnyCase() {
+    register.put(target("a", TargetPhase.DRAINING));
+    duties.plan(register, 3, false, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isTrue();
+  }
+
+  private static FleetTarget target(String id, TargetPhase phase) {
+    return new FleetTarget(
+        new TargetId(id), SERVICE, "10.0.0.1:80", new DataCentreId("dc"), 4, phase, 0);
+  }
+}
