--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -6,7 +6,6 @@
 import io.cuminvalve.core.protocol.LeaseLeft;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,7 +29,7 @@
   private final ServiceId service;
   private final LeaseTimings timings;
   private final LongSupplier tokens;
-  private List<HeldRange> ranges = new ArrayList<>();
+  private final HeldRanges ranges = new HeldRanges();
   private long version;
   private long writtenVersion;
   private boolean cleanupPending;
@@ -168,7 +167,7 @@
    * @param nowMs the time; milliseconds
    */
   public void move(KeyRange keys, TargetId to, long nowMs) {
-    isolate(keys);
+    ranges.cutOut(keys);
     version++;
     long token = tokens.getAsLong();
     for (HeldRange held : ranges) {
@@ -179,27 +178,6 @@
     routesChanged = true;
   }
 
-  private void isolate(KeyRange keys) {
-    List<HeldRange> cut = new ArrayList<>();
-    for (HeldRange held : ranges) {
-      KeyRange range = held.range();
-      int from = Math.max(range.first(), keys.first());
-      int to = Math.min(range.last(), keys.last());
-      if (from > to || (from == range.first() && to == range.last())) {
-        cut.add(held);
-        continue;
-      }
-      if (range.first() < from) {
-        cut.add(held.withKeys(new KeyRange(range.first(), from - 1)));
-      }
-      cut.add(held.withKeys(new KeyRange(from, to)));
-      if (to < range.last()) {
-        cut.add(held.withKeys(new KeyRange(to + 1, range.last())));
-      }
-    }
-    ranges = cut;
-  }
-
   /**
    * Returns how many ranges there are; each is a lease to renew.
    *
@@ -216,13 +194,7 @@
    * @return never null
    */
   public List<KeyRange> rangesOfOthers(Predicate<TargetId> usable) {
-    List<KeyRange> result = new ArrayList<>();
-    for (HeldRange held : ranges) {
-      if (!usable.test(held.owner())) {
-        result.add(held.range());
-      }
-    }
-    return result;
+    return ranges.ofOthers(usable);
   }
 
   /**
@@ -395,7 +367,7 @@
    * @return true until {@link #renewTokens()} is called
    */
   public boolean hasStaleTokens() {
-    return ranges.stream().anyMatch(HeldRange::isStale);
+    return ranges.any(HeldRange::isStale);
   }
 
   /** Goes on with higher tokens where ours were stale, once the term is confirmed. */
@@ -414,21 +386,7 @@
    * @param nowMs the time; milliseconds
    */
   public void joinNeighbours(long nowMs) {
-    List<HeldRange> joined = new ArrayList<>();
-    for (HeldRange held : ranges) {
-      HeldRange last = joined.isEmpty() ? null : joined.get(joined.size() - 1);
-      if (last == null || !last.joins(held, nowMs)) {
-        joined.add(held);
-        continue;
-      }
-      boolean sameToken = last.token() == held.token();
-      HeldRange both = last.joinedWith(held);
-      if (!sameToken) {
-        both.restartWith(tokens.getAsLong());
-      }
-      joined.set(joined.size() - 1, both);
-    }
-    ranges = joined;
+    ranges.joinNeighbours(nowMs, tokens);
   }
 
   /**
@@ -438,17 +396,7 @@
    * @return never null
    */
   public OwnershipTable table(long nowMs) {
-    List<RangeAssignment> assignments = new ArrayList<>();
-    for (HeldRange held : ranges) {
-      assignments.add(
-          new RangeAssignment(
-              held.range().first(),
-              held.range().last(),
-              held.owner(),
-              List.copyOf(held.previousOwners().keySet()),
-              held.bounds(nowMs)));
-    }
-    return new OwnershipTable(service, assignments);
+    return new OwnershipTable(service, ranges.assignments(nowMs));
   }
 
   /**
@@ -505,25 +453,7 @@
    */
   public List<RangeRoute> routes(ToIntFunction<KeyRange> refusedPercent) {
     routesChanged = false;
-    List<RangeRoute> routes = new ArrayList<>();
-    for (HeldRange held : ranges) {
-      KeyRange range = held.range();
-      int refused = refusedPercent.applyAsInt(range);
-      RangeRoute last = routes.isEmpty() ? null : routes.get(routes.size() - 1);
-      boolean joins =
-          last != null
-              && last.owner().equals(held.owner())
-              && last.open() == held.isOpen()
-              && last.refusedPercent() == refused;
-      int first = joins ? last.firstKey() : range.first();
-      RangeRoute route = new RangeRoute(first, range.last(), held.owner(), held.isOpen(), refused);
-      if (joins) {
-        routes.set(routes.size() - 1, route);
-      } else {
-        routes.add(route);
-      }
-    }
-    return routes;
+    return ranges.routes(refusedPercent);
   }
 
   /**
@@ -544,12 +474,6 @@
    * @return by owner; never null
    */
   public Map<TargetId, List<KeyRange>> rangesByOwner(boolean settled, long nowMs) {
-    Map<TargetId, List<KeyRange>> result = new HashMap<>();
-    for (HeldRange held : ranges) {
-      if (held.isSettled(nowMs) == settled) {
-        result.computeIfAbsent(held.owner(), id -> new ArrayList<>()).add(held.range());
-      }
-    }
-    return result;
+    return ranges.byOwner(settled, nowMs);
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseFleet.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseFleet.java
@@ -144,7 +144,7 @@
   private LeaseTarget start(ServiceId service, String address, long listingDelayMs) {
     TargetId id = new TargetId("run-" + (runs.size() + 1));
     LeaseTarget before = lastAt.get(address);
-    LeaseTarget next = start(id, service, address, listingDelayMs);
+    LeaseTarget next = begin(id, service, address, listingDelayMs);
     if (before != null) {
       onReplaced.accept(before);
     }
@@ -155,10 +155,10 @@
   LeaseTarget startAgain(LeaseTarget ended, long listingDelayMs) {
     TargetId id = TargetId.ofRun(ended.id().name(), time.nowMs() + 1);
     ended.end(Math.min(ended.listedUntilMs(), time.nowMs() + listingDelayMs));
-    return start(id, ended.service(), ended.address(), listingDelayMs);
+    return begin(id, ended.service(), ended.address(), listingDelayMs);
   }
 
-  private LeaseTarget start(TargetId id, ServiceId service, String address, long listingDelayMs) {
+  private LeaseTarget begin(TargetId id, ServiceId service, String address, long listingDelayMs) {
     double clockRate = time.onceIn(3) ? SLOWEST_CLOCK : 1 + time.share() * (SLOWEST_CLOCK - 1);
     LeaseTarget next =
         new LeaseTarget(id, service, address, clockRate, time.nowMs() + listingDelayMs);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -168,20 +168,7 @@
 
   private void onRead(long number, ReadResult result) {
     mustRead &= !(open && result.isDone());
-    onResult(number, toWatchResult(result));
-  }
-
-  private WatchResult toWatchResult(ReadResult result) {
-    if (!result.isDone()) {
-      return new WatchResult(WatchResult.Event.UNAVAILABLE, Optional.empty());
-    }
-    if (result.value().isEmpty()) {
-      return new WatchResult(WatchResult.Event.ABSENT, Optional.empty());
-    }
-    boolean isNews = result.value().get().revision() > revision;
-    return isNews
-        ? new WatchResult(WatchResult.Event.CHANGED, result.value())
-        : new WatchResult(WatchResult.Event.UNCHANGED, Optional.empty());
+    onResult(number, result.toWatchResult(revision));
   }
 
   /**
