--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetPace.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetPace.java
@@ -14,9 +14,9 @@
 
   /**
    * The pause grows up to this. A wait at the store and the link to the holder that fall silent
-   * together hide a change for 2.3 s then, whatever the width of the fleet; with pauses that went
-   * on growing it was 7.1 s at 300 gateways ({@code WaitBoundsTest}). The holder of 300 gateways
-   * hears 430 hellos a second.
+   * together hide a change for less than 2.5 s then, whatever the width of the fleet; with pauses
+   * that went on growing it was 7.1 s at 300 gateways ({@code WaitBoundsTest}). The holder of 300
+   * gateways hears 430 hellos a second, by arithmetic.
    */
   private static final long LONGEST_HELLO_MS = 700;
 
