Follow the store by the holder and eight deputies, not by every gateway

Cause: every gateway kept two waits at the store. Each change of the configuration or of the term woke all of them, a silent holder made all of them ask twice a second, and a gateway that the store alone turned away went on following a former holder. The first start of 95 gateways cost some 800 calls, three for each candidate. Change: the holder names up to eight deputies in its beats, the strongest of each data centre in turn; all of a fleet of nine. Whoever is no deputy asks the store only about a change that it was told of, or when neither the holder nor any deputy confirms what it knows. Deputies answer hellos with the newest term, its holder and the configuration's revision; a later term is taken from them without a look at the store. At a first start all but the first seed begin a second later.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
@@ -1,5 +1,7 @@
 package io.cuminvalve.core.protocol;
 
+import java.util.List;
+
 /**
  * Sent by the holder of the term to every process that said hello lately.
  *
@@ -10,6 +12,8 @@
  * @param configurationRevision the store's revision of the configuration that the holder knows; 0
  *     if it knows none
  * @param configurationAgeMs how old that knowledge is; milliseconds
+ * @param deputies the peer addresses of the gateways that follow the store beside the holder; not
+ *     null
  * @since 0.2
  */
 public record FleetBeat(
@@ -18,5 +22,12 @@
     long registryAgeMs,
     long termAgeMs,
     long configurationRevision,
-    long configurationAgeMs)
-    implements FleetMessage {}
+    long configurationAgeMs,
+    List<String> deputies)
+    implements FleetMessage {
+
+  /** Copies the list. */
+  public FleetBeat {
+    deputies = List.copyOf(deputies);
+  }
+}
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -10,6 +10,8 @@
  * @param routesTerm the term under which it learned of the owners; 0 if it knows none
  * @param routesVersion the version of the owners that it knows
  * @param configurationRevision the store's revision of the configuration that it knows; 0 if none
+ * @param dataCentre where the sender runs; not null
+ * @param processorCores how many cores it may use
  * @since 0.2
  */
 public record FleetHello(
@@ -18,5 +20,7 @@
     long targetsVersion,
     long routesTerm,
     long routesVersion,
-    long configurationRevision)
+    long configurationRevision,
+    String dataCentre,
+    double processorCores)
     implements FleetMessage {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -14,14 +14,13 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 /**
  * Keeps the newest configuration in force, and never an older one after it.
  *
- * <p>Every gateway waits at the store itself; the holder of the term confirms that it missed
- * nothing, or tells what it missed. A configuration that cannot be read leaves the last good one in
- * force. All methods are for the control thread.
+ * <p>The holder of the term and its deputies wait at the store; they confirm to every gateway that
+ * it missed nothing, or tell what it missed. A configuration that cannot be read leaves the last
+ * good one in force. All methods are for the control thread.
  *
  * @since 0.2
  */
@@ -59,7 +58,7 @@
    * @param control the thread that owns the state; not null
    * @param clock the time; not null
    * @param log takes decisions; not null
-   * @param maxAgeMs how old knowledge that the holder confirms may be; milliseconds; not null
+   * @param reliance how far the holder and its deputies are relied on; not null
    * @param onInForce hears of each configuration that is in force from now on; not null
    */
   public ConfigurationWatch(
@@ -68,7 +67,7 @@
       ControlThread control,
       MillisClock clock,
       DecisionLog log,
-      LongSupplier maxAgeMs,
+      Reliance reliance,
       Consumer<StoreValue> onInForce) {
     this.ports = ports;
     this.state = state;
@@ -83,7 +82,7 @@
             clock,
             log,
             RETRY_MS,
-            maxAgeMs,
+            reliance,
             this::onResult);
   }
 
@@ -150,7 +149,7 @@
    */
   public void onNews(StoreValue value) {
     if (value.revision() > follower.revision()) {
-      follower.onTaken(value);
+      follower.onTaken(value.revision());
       install(value);
     }
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -1,6 +1,5 @@
 package io.cuminvalve.gateway.control;
 
-import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
@@ -33,6 +32,15 @@
   private static final long BACKOFF_MAX_MS = 500;
   private static final int QUEUE_CAPACITY = 256;
 
+  /**
+   * When a whole fleet starts for the first time, one gateway looks for the term first and the
+   * others find it taken: 95 that all looked at once cost 800 calls of the store. Nobody is served
+   * yet.
+   */
+  private static final long FIRST_START_DELAY_MS = 1_000;
+
+  private static final long FIRST_START_SPREAD_MS = 500;
+
   private final GatewayPorts ports;
   private final GatewaySettings settings;
   private final RoutingState state;
@@ -40,6 +48,7 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final RecordCodec codec = new RecordCodec();
+  private final SplittableRandom random;
   private final TcpPeerNetwork network;
   private final ConfigurationWatch configuration;
   private final FleetLink link;
@@ -74,7 +83,7 @@
     this.control = control;
     this.clock = clock;
     this.log = log;
-    SplittableRandom random = new SplittableRandom();
+    this.random = new SplittableRandom();
     this.network =
         new TcpPeerNetwork(
             new PeerNetworkSettings(
@@ -93,9 +102,10 @@
             clock,
             random.split());
     FleetPace pace = new FleetPace(state);
+    Deputies deputies = new Deputies(network.localAddress());
+    Reliance reliance = new Reliance(pace::confirmedMs, () -> !deputies.isNeeded());
     this.configuration =
-        new ConfigurationWatch(
-            ports, state, control, clock, log, pace::confirmedMs, this::onConfiguration);
+        new ConfigurationWatch(ports, state, control, clock, log, reliance, this::onConfiguration);
     this.link =
         new FleetLink(
             network,
@@ -110,7 +120,8 @@
             reports,
             pace,
             this::onReplaced,
-            this::onBeat);
+            new LeasedTerm(),
+            deputies);
     this.termLease =
         new TermLease(
             ports.store(),
@@ -123,7 +134,7 @@
             settings.firstCandidate(),
             settings.processorCores(),
             settings.leases().holderGraceMs(),
-            pace::confirmedMs,
+            reliance,
             this);
   }
 
@@ -135,10 +146,6 @@
     termLease.onReplaced();
   }
 
-  private void onBeat(FleetBeat beat) {
-    termLease.onHeard(beat.term(), clock.nowMs() - beat.termAgeMs());
-  }
-
   private void onConfiguration(StoreValue value) {
     link.tellConfiguration(value.revision());
   }
@@ -155,12 +162,15 @@
   /** Starts. */
   public void start() {
     network.start();
-    control.execute(
-        () -> {
-          configuration.start();
-          termLease.start();
-          link.start();
-        });
+    boolean first = settings.firstCandidate() || !settings.firstStart();
+    control.schedule(
+        this::begin, first ? 0 : FIRST_START_DELAY_MS + random.nextLong(FIRST_START_SPREAD_MS));
+  }
+
+  private void begin() {
+    termLease.start();
+    configuration.start();
+    link.start();
   }
 
   /** Gives the term up, so that another gateway takes it at once; goes on routing. */
@@ -214,8 +224,27 @@
   }
 
   @Override
-  public void onOtherHolder(TermNote holder) {
-    log.write("holder_known", "holder={} address={}", holder.process(), holder.peerAddress());
-    link.setHolder(holder.peerAddress());
+  public void onOtherHolder(String peerAddress) {
+    log.write("holder_known", "address={}", peerAddress);
+    link.setHolder(peerAddress);
+  }
+
+  /** The link is made before the lease of the term. */
+  private final class LeasedTerm implements TermKnowledge {
+
+    @Override
+    public boolean onHeard(long term, String holderAddress, long atMs) {
+      return termLease.onHeard(term, holderAddress, atMs);
+    }
+
+    @Override
+    public long newest() {
+      return termLease.newest();
+    }
+
+    @Override
+    public long ageMs() {
+      return termLease.ageMs();
+    }
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -7,6 +7,7 @@
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.FleetNews;
+import io.cuminvalve.core.protocol.FollowerBeat;
 import io.cuminvalve.core.protocol.HolderEnded;
 import io.cuminvalve.core.protocol.KeyLoadReport;
 import io.cuminvalve.core.protocol.LeasesLeft;
@@ -35,7 +36,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -61,6 +61,15 @@
   /** In a wide fleet the registry takes several calls; a holder that is there may be faster. */
   private static final long LIST_AFTER_MS = 60;
 
+  /** Pause between two questions to deputies: a few fit into the time for which a beat counts. */
+  private static final long ASK_DEPUTIES_MS = 300;
+
+  /** A beat may be so late. */
+  private static final long BEAT_DELAY_MS = 150;
+
+  /** A holder that the store answers confirms what it knows more often than this. */
+  private static final long FRESH_MS = 1_200;
+
   /** The store usually answers a process that starts within a few milliseconds. */
   private static final long ASK_SEEDS_AFTER_MS = 500;
 
@@ -75,7 +84,8 @@
   private final TrafficReports reports;
   private final FleetPace pace;
   private final Runnable onReplaced;
-  private final Consumer<FleetBeat> onHolderBeat;
+  private final TermKnowledge terms;
+  private final Deputies deputies;
   private final ConfigurationWatch configuration;
   private final long startedMs;
   private final Subscribers subscribers = new Subscribers();
@@ -87,6 +97,7 @@
   private long heardMs;
   private Optional<String> formerHolder = Optional.empty();
   private boolean leasesLeftKnown;
+  private long freshBeatMs;
 
   FleetLink(
       PeerNetwork network,
@@ -101,7 +112,8 @@
       TrafficReports reports,
       FleetPace pace,
       Runnable onReplaced,
-      Consumer<FleetBeat> onHolderBeat) {
+      TermKnowledge terms,
+      Deputies deputies) {
     this.network = network;
     this.state = state;
     this.control = control;
@@ -113,10 +125,12 @@
     this.reports = reports;
     this.pace = pace;
     this.onReplaced = onReplaced;
-    this.onHolderBeat = onHolderBeat;
+    this.terms = terms;
+    this.deputies = deputies;
     this.configuration = configuration;
     this.startedMs = clock.nowMs();
     this.heardMs = clock.nowMs();
+    this.freshBeatMs = clock.nowMs();
   }
 
   void start() {
@@ -125,6 +139,7 @@
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
     }
     repeat(this::onPace, pace::helloMs);
+    repeat(this::askDeputies, () -> ASK_DEPUTIES_MS);
     repeat(this::reportKeyWork, () -> pace.widened(KEY_WORK_MS));
     repeat(this::reportTargetTimes, () -> pace.widened(TARGET_TIMES_MS));
   }
@@ -183,7 +198,9 @@
         || message instanceof TargetReplaced) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
-      onBeat(beat);
+      onBeat(sender, beat);
+    } else if (message instanceof FollowerBeat beat) {
+      onFollowerBeat(beat);
     } else if (message instanceof ConfigurationNews news) {
       onConfigurationNews(news);
     } else if (message instanceof TargetsPush push) {
@@ -222,6 +239,23 @@
     }
   }
 
+  /** The holder has missed a beat, or the store does not answer it: others may know more. */
+  private void askDeputies() {
+    boolean overdue = clock.nowMs() - freshBeatMs > pace.helloMs() + BEAT_DELAY_MS;
+    if (duties.isEmpty() && overdue) {
+      deputies.next().forEach(address -> network.send(address, hello()));
+    }
+  }
+
+  private void onFollowerBeat(FollowerBeat beat) {
+    if (duties.isPresent()) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    configuration.onHeard(beat.configurationRevision(), nowMs - beat.configurationAgeMs());
+    terms.onHeard(beat.term(), beat.holderAddress(), nowMs - beat.termAgeMs());
+  }
+
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
     reports.takeReplacedTargets().forEach(this::report);
@@ -244,7 +278,11 @@
   }
 
   private FleetHello hello() {
-    return view.hello(settings.process(), configuration.revision());
+    return view.hello(
+        settings.process(),
+        settings.dataCentre(),
+        settings.processorCores(),
+        configuration.revision());
   }
 
   private void openOwnFollower() {
@@ -275,16 +313,20 @@
         });
   }
 
-  private void onBeat(FleetBeat beat) {
-    if (duties.isPresent()) {
+  private void onBeat(PeerChannel holder, FleetBeat beat) {
+    long termConfirmedMs = clock.nowMs() - beat.termAgeMs();
+    if (duties.isPresent() || !terms.onHeard(beat.term(), holder.peerAddress(), termConfirmedMs)) {
       return;
     }
+    deputies.onNamed(beat.deputies());
+    if (Math.max(beat.termAgeMs(), beat.configurationAgeMs()) <= FRESH_MS) {
+      freshBeatMs = clock.nowMs();
+    }
     if (beat.registryAgeMs() <= STALE_REGISTRY_MS) {
       heardMs = clock.nowMs();
     }
     state.confirmTargets(clock.nowMs() - beat.registryAgeMs());
     configuration.onHeard(beat.configurationRevision(), clock.nowMs() - beat.configurationAgeMs());
-    onHolderBeat.accept(beat);
     if (state.current().processes() != beat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, beat.processes())));
     }
@@ -414,13 +456,26 @@
 
   private void onHello(PeerChannel sender, FleetHello hello) {
     boolean knowsNothing = hello.targetsTerm() == 0 && hello.routesTerm() == 0;
-    if (duties.isEmpty() || knowsNothing) {
+    if (knowsNothing || hello.configurationRevision() == 0) {
       tellNews(sender);
     }
-    if (duties.isEmpty()) {
-      return;
+    if (duties.isPresent()) {
+      answerAsHolder(sender, hello, duties.get());
+    } else {
+      sender.send(
+          new FollowerBeat(
+              terms.newest(),
+              holderAddress.orElse(""),
+              terms.ageMs(),
+              configuration.revision(),
+              configuration.ageMs()));
     }
-    HolderDuties holder = duties.get();
+    configuration
+        .lackedBy(hello.configurationRevision())
+        .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
+  }
+
+  private void answerAsHolder(PeerChannel sender, FleetHello hello, HolderDuties holder) {
     subscribers.onHello(sender, hello, holder.term(), view, clock.nowMs());
     sender.send(
         new FleetBeat(
@@ -429,11 +484,9 @@
             holder.registryAgeMs(),
             holder.termAgeMs(),
             configuration.revision(),
-            configuration.ageMs()));
+            configuration.ageMs(),
+            subscribers.deputies()));
     configuration.onHeard(hello.configurationRevision(), 0);
-    configuration
-        .lackedBy(hello.configurationRevision())
-        .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
     updateProcesses();
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -37,14 +37,17 @@
     return routes;
   }
 
-  FleetHello hello(String process, long configurationRevision) {
+  FleetHello hello(
+      String process, String dataCentre, double processorCores, long configurationRevision) {
     return new FleetHello(
         process,
         targets.term(),
         targets.version(),
         routes.term(),
         routes.version(),
-        configurationRevision);
+        configurationRevision,
+        dataCentre,
+        processorCores);
   }
 
   /** Notes what this process, as the holder, knows now. Returns what the others have to hear. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -5,21 +5,20 @@
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.ports.store.KeyValueStore;
 import io.cuminvalve.ports.store.ReadResult;
-import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.ports.store.WatchResult;
 import java.util.Optional;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
 
 /**
  * Follows one key of the store, with a bound on how old its knowledge may grow.
  *
  * <p>Changes are rare, so it waits long for the next one while others confirm that it missed
- * nothing. A connection may fall silent without a sign: a wait of 30 s on it would hide every
- * change for as long. So knowledge that nobody confirms for a while ends the long wait; from then
- * on waits are short, and one whose answer is overdue is taken up anew on another connection. All
- * methods are for the control thread.
+ * nothing. Where it relies on them entirely it does not wait at all, but looks once when they tell
+ * of a change or fall silent. A connection may fall silent without a sign: a wait of 30 s on it
+ * would hide every change for as long. So knowledge that nobody confirms for a while ends the long
+ * wait; from then on waits are short, and one whose answer is overdue is taken up anew on another
+ * connection. All methods are for the control thread.
  */
 final class KeyFollower {
 
@@ -50,7 +49,7 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final long retryMs;
-  private final LongSupplier maxAgeMs;
+  private final Reliance reliance;
   private final Consumer<WatchResult> listener;
   private boolean open;
   private boolean mustRead;
@@ -59,9 +58,12 @@
   private volatile long answeredMs;
   private volatile long heardMs;
   private long newerHeardMs;
+  private long newerHeardCall;
   private long newestHeard;
   private long callNumber;
   private boolean waiting;
+  private boolean resting;
+  private boolean absent;
   private long sentMs;
   private long waitMs;
   private Future<?> checking;
@@ -75,7 +77,7 @@
    * @param clock the time; not null
    * @param log takes decisions; not null
    * @param retryMs pause after a call that failed, and while the key does not exist; milliseconds
-   * @param maxAgeMs how old knowledge may be before waits become short; milliseconds; not null
+   * @param reliance how far others are relied on; not null
    * @param listener takes the end of each wait; not null
    */
   KeyFollower(
@@ -85,7 +87,7 @@
       MillisClock clock,
       DecisionLog log,
       long retryMs,
-      LongSupplier maxAgeMs,
+      Reliance reliance,
       Consumer<WatchResult> listener) {
     this.store = store;
     this.key = key;
@@ -93,7 +95,7 @@
     this.clock = clock;
     this.log = log;
     this.retryMs = retryMs;
-    this.maxAgeMs = maxAgeMs;
+    this.reliance = reliance;
     this.listener = listener;
   }
 
@@ -112,6 +114,7 @@
       open = false;
       mustRead = true;
       waiting = false;
+      resting = false;
       callNumber++;
       checking.cancel(false);
     }
@@ -127,8 +130,23 @@
     return clock.nowMs() - Math.max(answeredMs, heardMs);
   }
 
+  /** Tells whether the key did not exist when the store was asked last. */
+  boolean isAbsent() {
+    return absent;
+  }
+
   private boolean isConfirmedByOthers() {
-    return newestHeard <= revision && clock.nowMs() - heardMs <= maxAgeMs.getAsLong();
+    return newestHeard <= revision && clock.nowMs() - heardMs <= reliance.maxAgeMs().getAsLong();
+  }
+
+  /** Tells whether the store need not be asked now. */
+  private boolean mayRest() {
+    if (!reliance.isEntire().getAsBoolean() || newestHeard > revision) {
+      return false;
+    }
+    // Who comes next matters more while there is nothing.
+    // The next look at the age is a pause later.
+    return absent ? isConfirmedByOthers() : ageMs() + CHECK_MS <= reliance.maxAgeMs().getAsLong();
   }
 
   /**
@@ -143,18 +161,26 @@
     } else if (known > revision && known > newestHeard) {
       newestHeard = known;
       newerHeardMs = clock.nowMs();
+      newerHeardCall = callNumber;
+      if (resting) {
+        call();
+      }
     }
   }
 
-  /** Learns of a value from another process; it counts as seen. */
-  void onTaken(StoreValue value) {
-    revision = Math.max(revision, value.revision());
+  /** Learns a value's revision, and elsewhere the value, from another process: it is seen. */
+  void onTaken(long taken) {
+    if (taken > revision) {
+      revision = taken;
+      absent = false;
+    }
   }
 
   private void call() {
     sentMs = clock.nowMs();
-    waitMs = isConfirmedByOthers() ? LONG_WAIT_MS : SHORT_WAIT_MS;
+    waitMs = nextWaitMs();
     waiting = true;
+    resting = false;
     long number = ++callNumber;
     if (mustRead) {
       waitMs = 0;
@@ -166,6 +192,21 @@
     }
   }
 
+  private long nextWaitMs() {
+    if (reliance.isEntire().getAsBoolean() && !absent) {
+      return 0;
+    }
+    return isConfirmedByOthers() ? LONG_WAIT_MS : SHORT_WAIT_MS;
+  }
+
+  private void callOrRest() {
+    if (mayRest()) {
+      resting = true;
+    } else {
+      call();
+    }
+  }
+
   private void onRead(long number, ReadResult result) {
     mustRead &= !(open && result.isDone());
     onResult(number, result.toWatchResult(revision));
@@ -199,7 +240,7 @@
       return;
     }
     if (event == WatchResult.Event.CHANGED || event == WatchResult.Event.UNCHANGED) {
-      call();
+      callOrRest();
     } else {
       control.schedule(this::callUnlessWaiting, retryMs);
     }
@@ -213,18 +254,32 @@
         result.event() == WatchResult.Event.UNCHANGED && clock.nowMs() - sentMs >= waitMs;
     answeredMs = Math.max(answeredMs, waited ? sentMs + waitMs : sentMs);
     answerMs = Math.max(ANSWER_MS, answerMs / 2);
+    if (result.event() != WatchResult.Event.UNCHANGED) {
+      absent = result.event() == WatchResult.Event.ABSENT;
+    } else if (reliance.isEntire().getAsBoolean() && callNumber > newerHeardCall) {
+      // What was told since is gone again: without a wait it would be asked for without end.
+      newestHeard = Math.min(newestHeard, revision);
+    }
   }
 
   private void callUnlessWaiting() {
-    if (open && !waiting) {
-      call();
+    if (open && !waiting && !resting) {
+      callOrRest();
     }
   }
 
   private void check() {
-    if (!open || !waiting) {
+    if (!open) {
       return;
     }
+    if (resting && !mayRest()) {
+      call();
+    } else if (waiting) {
+      renewIfNeeded();
+    }
+  }
+
+  private void renewIfNeeded() {
     reasonToRenew()
         .ifPresent(
             why -> {
@@ -251,7 +306,7 @@
       answerMs = Math.min(MAX_ANSWER_MS, 2 * answerMs);
       return Optional.of("answer_overdue");
     }
-    boolean confirmed = nowMs - heardMs <= maxAgeMs.getAsLong();
+    boolean confirmed = nowMs - heardMs <= reliance.maxAgeMs().getAsLong();
     return waitMs > SHORT_WAIT_MS && !confirmed ? Optional.of("unconfirmed") : Optional.empty();
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
@@ -1,9 +1,13 @@
 package io.cuminvalve.gateway.control;
 
+import io.cuminvalve.core.fleet.DeputyChoice;
+import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.wire.PeerChannel;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -19,6 +23,7 @@
   private static final int GONE_HELLOS = 7;
 
   private final Map<String, Subscriber> byProcess = new HashMap<>();
+  private List<String> deputies = List.of();
 
   /**
    * Takes a hello. Sends what the sender lacks of what was decided in a term.
@@ -32,8 +37,11 @@
   void onHello(PeerChannel sender, FleetHello hello, long term, FleetView view, long nowMs) {
     Subscriber known = byProcess.get(hello.process());
     boolean fresh = known == null || !known.channel.equals(sender);
-    Subscriber subscriber = fresh ? new Subscriber(sender) : known;
+    Subscriber subscriber = fresh ? new Subscriber(sender, hello) : known;
     byProcess.put(hello.process(), subscriber);
+    if (fresh) {
+      chooseDeputies();
+    }
     subscriber.heardMs = nowMs;
     boolean lacksTargets =
         fresh || hello.targetsTerm() != term || hello.targetsVersion() < subscriber.targetsDue;
@@ -55,7 +63,20 @@
 
   void dropSilent(long nowMs, long helloMs) {
     long goneMs = GONE_HELLOS * helloMs;
-    byProcess.values().removeIf(subscriber -> nowMs - subscriber.heardMs > goneMs);
+    if (byProcess.values().removeIf(subscriber -> nowMs - subscriber.heardMs > goneMs)) {
+      chooseDeputies();
+    }
+  }
+
+  /** Returns the peer addresses of those that follow the store beside this process. */
+  List<String> deputies() {
+    return deputies;
+  }
+
+  private void chooseDeputies() {
+    List<DeputyChoice.Candidate> candidates = new ArrayList<>();
+    byProcess.values().forEach(subscriber -> candidates.add(subscriber.candidate));
+    deputies = DeputyChoice.choose(candidates);
   }
 
   int count() {
@@ -64,18 +85,23 @@
 
   void clear() {
     byProcess.clear();
+    deputies = List.of();
   }
 
   /** A gateway that said hello. */
   private static final class Subscriber {
 
     private final PeerChannel channel;
+    private final DeputyChoice.Candidate candidate;
     private long heardMs;
     private long targetsDue;
     private long routesDue;
 
-    Subscriber(PeerChannel channel) {
+    Subscriber(PeerChannel channel, FleetHello hello) {
       this.channel = channel;
+      this.candidate =
+          new DeputyChoice.Candidate(
+              channel.peerAddress(), new DataCentreId(hello.dataCentre()), hello.processorCores());
     }
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -14,7 +14,6 @@
 import io.cuminvalve.ports.store.WriteResult;
 import io.cuminvalve.wire.RecordCodec;
 import java.util.Optional;
-import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -45,11 +44,14 @@
     /**
      * Another process holds the term.
      *
-     * @param holder who it is; not null
+     * @param peerAddress where gateways reach it; not null
      */
-    void onOtherHolder(TermNote holder);
+    void onOtherHolder(String peerAddress);
   }
 
+  /** Older than anything that anybody relies on. */
+  public static final long VACANT_AGE_MS = 60_000;
+
   /** Where the term is kept. */
   private static final String KEY = "cuminvalve/term";
 
@@ -106,7 +108,7 @@
    * @param firstCandidate whether it need not wait before it tries
    * @param processorCores how many cores this process may use; above 0
    * @param graceMs for how long it goes on without an answer of the store; milliseconds
-   * @param maxAgeMs how old knowledge that the holder confirms may be; milliseconds; not null
+   * @param reliance how far the holder and its deputies are relied on; not null
    * @param listener learns of changes; not null
    */
   public TermLease(
@@ -120,7 +122,7 @@
       boolean firstCandidate,
       double processorCores,
       long graceMs,
-      LongSupplier maxAgeMs,
+      Reliance reliance,
       Listener listener) {
     this.store = store;
     this.control = control;
@@ -134,7 +136,7 @@
     this.graceMs = graceMs;
     this.listener = listener;
     this.follower =
-        new KeyFollower(store, KEY, control, clock, log, RETRY_MS, maxAgeMs, this::onWatched);
+        new KeyFollower(store, KEY, control, clock, log, RETRY_MS, reliance, this::onWatched);
   }
 
   /** Starts to watch the term. */
@@ -143,16 +145,46 @@
   }
 
   /**
-   * Hears from the holder that it holds the term.
+   * Hears from another gateway who holds the term.
    *
    * <p>Without that the vacancy of the term, or the next holder, might stay unknown for as long as
-   * a wait at the store hangs on a connection that fell silent.
+   * a wait at the store hangs on a connection that fell silent, or the store turns this process
+   * away. A later term counts without a look at the store: its number cannot be older news.
    *
-   * @param term its number
+   * @param heard the number of the term
+   * @param peerAddress where gateways reach its holder; empty if unknown; not null
    * @param atMs when the store confirmed it; a time of the clock; milliseconds
+   * @return whether it is no earlier term than the one known
+   */
+  public boolean onHeard(long heard, String peerAddress, long atMs) {
+    if (heard < follower.revision()) {
+      return false;
+    }
+    if (heard > follower.revision() && !holding && !peerAddress.isEmpty()) {
+      candidate = false;
+      follower.onTaken(heard);
+      listener.onOtherHolder(peerAddress);
+    }
+    follower.onHeard(heard, atMs);
+    return true;
+  }
+
+  /**
+   * Returns the newest term that is known.
+   *
+   * @return its number; 0 if none is known
+   */
+  public long newest() {
+    return follower.revision();
+  }
+
+  /**
+   * Returns how old the knowledge is that the newest term is not over.
+   *
+   * @return milliseconds; {@link #VACANT_AGE_MS} if the store said that nobody holds it
    */
-  public void onHeard(long term, long atMs) {
-    follower.onHeard(term, atMs);
+  public long ageMs() {
+    return follower.isAbsent() ? VACANT_AGE_MS : follower.ageMs();
   }
 
   /**
@@ -226,7 +258,7 @@
 
   private void onNote(StoreValue value) {
     try {
-      listener.onOtherHolder(codec.decode(value.value(), TermNote.class));
+      listener.onOtherHolder(codec.decode(value.value(), TermNote.class).peerAddress());
     } catch (CodedException unreadable) {
       log.write("term_unreadable", "revision={} why=\"{}\"", value.revision(), unreadable);
     }
@@ -315,6 +347,7 @@
       return;
     }
     holding = true;
+    follower.onTaken(term);
     follower.close();
     lease = Optional.of(created);
     confirmedMs = sentMs;
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
@@ -47,7 +47,7 @@
           control,
           clock,
           new DecisionLog(clock, 100, line -> {}),
-          () -> MAX_AGE_MS,
+          Reliance.partial(() -> MAX_AGE_MS),
           value -> {});
 
   @BeforeEach
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
@@ -23,6 +23,7 @@
   private final ControlThread control =
       new ControlThread("test", FailureHandler.logging(), new VirtualExecutor(clock));
   private final WatchedStore store = new WatchedStore(clock);
+  private boolean reliesOnOthers;
   private final List<WatchResult.Event> ends = new ArrayList<>();
   private final KeyFollower follower =
       new KeyFollower(
@@ -32,7 +33,7 @@
           clock,
           new DecisionLog(clock, 100, line -> {}),
           RETRY_MS,
-          () -> MAX_AGE_MS,
+          new Reliance(() -> MAX_AGE_MS, () -> reliesOnOthers),
           result -> ends.add(result.event()));
 
   @BeforeEach
@@ -128,6 +129,78 @@
     assertThat(ends).containsExactly(WatchResult.Event.CHANGED);
   }
 
+  @Test
+  void whoReliesOnOthersAsksNothingWhileTheyConfirm() {
+    relyOnOthers();
+    final int calls = store.waits().size();
+    confirmFor(20_000);
+    assertThat(store.waits()).hasSize(calls);
+  }
+
+  @Test
+  void whoReliesOnOthersAsksOnceWhenTheyTellOfNews() {
+    relyOnOthers();
+    final int calls = store.waits().size();
+    store.put((byte) 2);
+    follower.onHeard(2, 0);
+    clock.advance(0);
+    assertThat(follower.revision()).isEqualTo(2);
+    confirmFor(3_000);
+    assertThat(store.waits()).hasSize(calls + 1);
+  }
+
+  @Test
+  void whoReliesOnOthersLooksForItselfWhenTheyFallSilent() {
+    relyOnOthers();
+    store.put((byte) 2);
+    clock.advance(MAX_AGE_MS + 200);
+    assertThat(follower.revision()).isEqualTo(2);
+    final int calls = store.waits().size();
+    clock.advance(10 * MAX_AGE_MS);
+    assertThat(store.waits().size() - calls).isAtLeast(8);
+    assertThat(store.waits().size() - calls).isAtMost(10);
+  }
+
+  /** A term that was told of and is over again must not be asked for without a pause. */
+  @Test
+  void newsThatTheStoreDoesNotConfirmAreForgotten() {
+    relyOnOthers();
+    final int calls = store.waits().size();
+    follower.onHeard(9, 0);
+    clock.advance(1_000);
+    assertThat(store.waits().size() - calls).isAtMost(2);
+  }
+
+  @Test
+  void whoIsToFollowTheStoreAgainWaitsThere() {
+    relyOnOthers();
+    confirmFor(3_000);
+    reliesOnOthers = false;
+    confirmFor(600);
+    assertThat(last(store.waits())).isEqualTo(KeyFollower.LONG_WAIT_MS);
+  }
+
+  @Test
+  void theKeyThatIsMissingIsWaitedForAtTheStore() {
+    relyOnOthers();
+    store.remove();
+    clock.advance(MAX_AGE_MS + 200);
+    assertThat(last(ends)).isEqualTo(WatchResult.Event.ABSENT);
+    clock.advance(RETRY_MS + 100);
+    assertThat(follower.isAbsent()).isTrue();
+    store.put((byte) 3);
+    clock.advance(RETRY_MS);
+    assertThat(follower.revision()).isEqualTo(3);
+    assertThat(follower.isAbsent()).isFalse();
+  }
+
+  private void relyOnOthers() {
+    reliesOnOthers = true;
+    store.silenceWaitingCalls();
+    clock.advance(KeyFollower.SHORT_WAIT_MS + KeyFollower.ANSWER_MS + 150);
+    confirmFor(1_000);
+  }
+
   /** The holder confirms again and again what this one knows. */
   private void confirmFor(long durationMs) {
     for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StoreCallsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StoreCallsTest.java
@@ -121,7 +121,8 @@
   }
 
   private KeyFollower newFollower(GuardedStore store, String key) {
-    return new KeyFollower(store, key, control, clock, log, RETRY_MS, () -> 2_390, result -> {});
+    return new KeyFollower(
+        store, key, control, clock, log, RETRY_MS, Reliance.partial(() -> 2_390), result -> {});
   }
 
   /** Counts and lets everything through. */
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.cuminvalve.core.fleet.DeputyChoice;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.id.DataCentreId;
@@ -42,6 +43,10 @@
   private final List<String> lines = new ArrayList<>();
 
   private KeyFollower follower(CursorStore from, long maxAgeMs) {
+    return follower(from, Reliance.partial(() -> maxAgeMs));
+  }
+
+  private KeyFollower follower(CursorStore from, Reliance reliance) {
     return new KeyFollower(
         from,
         "key",
@@ -49,7 +54,7 @@
         clock,
         new DecisionLog(clock, 100, lines::add),
         150,
-        () -> maxAgeMs,
+        reliance,
         result -> {});
   }
 
@@ -100,14 +105,28 @@
     assertThat(worstDelayMs(300, 0)).isAtMost(WIDE_IN_FORCE_MS);
   }
 
-  /** The wait and the link to the holder fall silent together, right after the holder's word. */
+  /** Whoever has no wait of its own at the store hears nothing when its links fall silent. */
+  @Test
+  void silentLinksDelayChangesByLessThanTheirBoundWithoutWaits() {
+    assertThat(worstDelayMs(DeputyChoice.DEPUTIES + 2, 1, true)).isAtMost(IN_FORCE_MS);
+    assertThat(worstDelayMs(70, 1, true)).isAtMost(WIDE_IN_FORCE_MS);
+    assertThat(worstDelayMs(87, 1, true)).isAtMost(WIDE_IN_FORCE_MS);
+    assertThat(worstDelayMs(300, 0, true)).isAtMost(WIDE_IN_FORCE_MS);
+  }
+
   private long worstDelayMs(int processes, int silentBesides) {
-    long maxAgeMs = new FleetPace(new RoutingState(processes)).confirmedMs();
+    return worstDelayMs(processes, silentBesides, false);
+  }
+
+  /** The wait and the link to the holder fall silent together, right after the holder's word. */
+  private long worstDelayMs(int processes, int silentBesides, boolean entirelyReliant) {
+    FleetPace pace = new FleetPace(new RoutingState(processes));
+    Reliance reliance = new Reliance(pace::confirmedMs, () -> entirelyReliant);
     long worst = 0;
     for (int phase = 0; phase < 150; phase += 10) {
       CursorStore one = new CursorStore(clock);
       one.put((byte) 1);
-      KeyFollower follower = follower(one, maxAgeMs);
+      KeyFollower follower = follower(one, reliance);
       control.execute(follower::start);
       confirm(follower, 3_000);
       clock.advance(phase);
@@ -177,7 +196,7 @@
             control,
             clock,
             log,
-            () -> 1_460,
+            Reliance.partial(() -> 1_460),
             value -> {});
     control.execute(watch::start);
     clock.advance(10);
@@ -219,7 +238,7 @@
           }
 
           @Override
-          public void onOtherHolder(TermNote holder) {
+          public void onOtherHolder(String peerAddress) {
             seen.add("other");
           }
         };
@@ -236,7 +255,7 @@
             true,
             1,
             9_500,
-            () -> 1_460,
+            Reliance.partial(() -> 1_460),
             listener);
     control.execute(lease::start);
     clock.advance(30_000);
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetNews;
+import io.cuminvalve.core.protocol.FollowerBeat;
 import io.cuminvalve.core.protocol.Heartbeat;
 import io.cuminvalve.core.protocol.HeartbeatReply;
 import io.cuminvalve.core.protocol.HolderAlive;
@@ -109,7 +110,8 @@
           type(45, TargetReplaced.class),
           type(46, RoutesChange.class),
           type(47, TargetsChange.class),
-          type(48, ConfigurationNews.class));
+          type(48, ConfigurationNews.class),
+          type(49, FollowerBeat.class));
 
   private PeerMessageTypes() {}
 
