--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -83,20 +83,17 @@
   private final FirstLook firstLook;
   private final TrafficReports reports;
   private final FleetPace pace;
-  private final Runnable onReplaced;
   private final TermKnowledge terms;
   private final Deputies deputies;
   private final ConfigurationWatch configuration;
   private final long startedMs;
   private final Subscribers subscribers = new Subscribers();
+  private final LeaseInheritance inheritance;
   private final FleetView view = new FleetView();
-  private final EarlierLeases earlierLeases = new EarlierLeases();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
   private Optional<RegistryFollower> ownFollower = Optional.empty();
   private long heardMs;
-  private Optional<String> formerHolder = Optional.empty();
-  private boolean leasesLeftKnown;
   private long freshBeatMs;
 
   FleetLink(
@@ -124,7 +121,7 @@
     this.firstLook = new FirstLook(ports, control, log, codec, new FirstKnowledge());
     this.reports = reports;
     this.pace = pace;
-    this.onReplaced = onReplaced;
+    this.inheritance = new LeaseInheritance(network, subscribers, clock, onReplaced);
     this.terms = terms;
     this.deputies = deputies;
     this.configuration = configuration;
@@ -162,14 +159,12 @@
   /** This gateway holds the term now, or no longer. */
   void setDuties(Optional<HolderDuties> now) {
     heardMs = clock.nowMs();
-    duties.ifPresent(this::tellLeasesLeft);
+    duties.ifPresent(inheritance::onLost);
     duties = now;
     if (now.isPresent()) {
-      EarlierLeases.Memory heard = earlierLeases.heard();
-      leasesLeftKnown = now.get().onLeasesLeft(heard.left(), heard.toldMs());
-      formerHolder = holderAddress;
+      Optional<String> holderBefore = holderAddress;
       holderAddress = Optional.empty();
-      askForLeasesLeft();
+      inheritance.onGained(now.get(), holderBefore);
       closeOwnFollower();
     } else {
       subscribers.clear();
@@ -190,9 +185,9 @@
     } else if (message instanceof FleetNews news) {
       onNews(news);
     } else if (message instanceof HolderEnded ended) {
-      onHolderEnded(sender, ended);
+      inheritance.onHolderEnded(sender, ended);
     } else if (message instanceof LeasesLeft left) {
-      onLeasesLeft(left);
+      inheritance.onLeasesLeft(left);
     } else if (message instanceof KeyLoadReport
         || message instanceof TargetTimesReport
         || message instanceof TargetReplaced) {
@@ -216,7 +211,7 @@
 
   private void onPace() {
     if (duties.isPresent()) {
-      askForLeasesLeft();
+      inheritance.ask();
       state.confirmTargets(clock.nowMs() - duties.get().registryAgeMs());
       subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
@@ -418,42 +413,6 @@
     onRoutesPush(news.routes());
   }
 
-  /** Whoever is next need not wait for more than this, even if this process is gone by then. */
-  private void tellLeasesLeft(HolderDuties ended) {
-    LeasesLeft left = new LeasesLeft(ended.term(), ended.leasesLeft());
-    earlierLeases.onOwnTermEnded(left, clock.nowMs());
-    subscribers.tell(left);
-  }
-
-  private void onLeasesLeft(LeasesLeft left) {
-    long nowMs = clock.nowMs();
-    earlierLeases.onHeard(left, nowMs);
-    duties.ifPresent(d -> leasesLeftKnown |= d.onLeasesLeft(left, nowMs));
-  }
-
-  /**
-   * Asks the holder before, and all others, which of its leases may be in force, until one knows.
-   *
-   * <p>What they tell may free keys many seconds earlier. The holder before stops at once, if it
-   * still runs.
-   */
-  private void askForLeasesLeft() {
-    if (leasesLeftKnown) {
-      return;
-    }
-    HolderEnded question = new HolderEnded(duties.orElseThrow().term());
-    formerHolder.ifPresent(address -> network.send(address, question));
-    subscribers.tell(question);
-  }
-
-  /** The term of an earlier holder is over, perhaps of this process: then it stops at once. */
-  private void onHolderEnded(PeerChannel sender, HolderEnded ended) {
-    if (duties.isPresent() && duties.get().term() < ended.term()) {
-      onReplaced.run();
-    }
-    earlierLeases.leftBefore(ended.term(), clock.nowMs()).ifPresent(sender::send);
-  }
-
   private void onHello(PeerChannel sender, FleetHello hello) {
     boolean knowsNothing = hello.targetsTerm() == 0 && hello.routesTerm() == 0;
     if (knowsNothing || hello.configurationRevision() == 0) {
