Spread hot spots of wide services in one step, however many targets there are

Change: MovePlanner (core.balance) places hot keys and evens out the rest in one step, and begins one move for eight targets, ten at least; each of several hot keys of a target goes to a target without one; a receiver gets what it can bear, up to 0.7 of its slots, if a cut of that size exists. KeyRange.without for two copies of the cut. RangeBalancer tests pass with a list in place of an optional, as strict.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/BalancerSettings.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/BalancerSettings.java
@@ -12,6 +12,7 @@
  *     busy one
  * @param minShare the smallest part of the wanted load that makes a move worthwhile
  * @param maxShare the largest part of the wanted load that one move takes
+ * @param fillShare busy share of its slots up to which a move fills a target, unless all are busier
  * @param maxKeys the most keys of one move
  * @since 0.2
  */
@@ -21,6 +22,7 @@
     double triggerGap,
     double minShare,
     double maxShare,
+    double fillShare,
     int maxKeys) {
 
   /**
@@ -28,5 +30,5 @@
    * tenth of a second of a target that is overloaded.
    */
   public static final BalancerSettings DEFAULT =
-      new BalancerSettings(1.3, 0.45, 0.2, 0.4, 1.1, KeyRange.KEY_COUNT / 16);
+      new BalancerSettings(1.3, 0.45, 0.2, 0.4, 1.1, 0.7, KeyRange.KEY_COUNT / 16);
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
@@ -2,11 +2,15 @@
 
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.KeyRange;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
- * Brings a key that keeps most of a target busy to the fastest target.
+ * Brings each key that keeps much of a target busy to a fast target that has no other such key.
  *
  * <p>One key has one owner, so nothing but the speed of that owner bounds how often it is served.
  *
@@ -21,53 +25,68 @@
   private static final double WORTHWHILE = 1.2;
 
   /**
-   * Finds the next move of a hot key.
+   * Finds moves of hot keys, the hottest first.
    *
    * @param targets the targets that may own keys; not null
    * @param loads the load of each key; not null
    * @param speeds the speed of each target; not null
-   * @return empty if every hot key is where it should be
+   * @param mostMoves at most so many
+   * @return empty if every hot key is where it should be; never null
    */
-  public Optional<RangeMove> plan(List<TargetLoad> targets, KeyLoads loads, TargetSpeeds speeds) {
+  public List<RangeMove> plan(
+      List<TargetLoad> targets, KeyLoads loads, TargetSpeeds speeds, int mostMoves) {
+    List<HotKey> hotKeys = new ArrayList<>();
+    List<TargetLoad> free = new ArrayList<>();
     for (TargetLoad target : targets) {
-      Optional<KeyRange> hot = hotKeyOf(target, loads);
-      if (hot.isEmpty()) {
-        continue;
+      List<HotKey> settled = hotKeysOf(target, target.ranges(), loads);
+      hotKeys.addAll(settled);
+      if (settled.isEmpty() && hotKeysOf(target, target.otherRanges(), loads).isEmpty()) {
+        free.add(target);
       }
-      Optional<TargetId> better = fastest(targets, target, loads, speeds);
-      if (better.isPresent()) {
-        return Optional.of(new RangeMove(hot.get(), target.id(), better.get()));
+    }
+    hotKeys.sort(Comparator.comparingDouble(HotKey::load).reversed());
+    List<RangeMove> moves = new ArrayList<>();
+    Set<TargetId> keeping = new HashSet<>();
+    for (HotKey hot : hotKeys) {
+      boolean shares = keeping.contains(hot.owner().id());
+      Optional<TargetLoad> better = fastest(free, hot.owner(), shares, speeds);
+      if (better.isPresent() && moves.size() < mostMoves) {
+        free.remove(better.get());
+        KeyRange keys = new KeyRange(hot.key(), hot.key());
+        moves.add(new RangeMove(keys, hot.owner().id(), better.get().id()));
+      } else {
+        keeping.add(hot.owner().id());
       }
     }
-    return Optional.empty();
+    return moves;
   }
 
-  private Optional<TargetId> fastest(
-      List<TargetLoad> targets, TargetLoad owner, KeyLoads loads, TargetSpeeds speeds) {
-    TargetId best = null;
-    double bestCost = speeds.of(owner.id()) / owner.slots() / WORTHWHILE;
-    for (TargetLoad other : targets) {
-      double cost = speeds.of(other.id()) / other.slots();
-      boolean free = hotKeyOf(other, loads).isEmpty();
-      if (free && cost < bestCost) {
-        best = other.id();
-        bestCost = cost;
-      }
-    }
-    return Optional.ofNullable(best);
+  /** A target with a hotter key has no room for another: then any free one is better. */
+  private static Optional<TargetLoad> fastest(
+      List<TargetLoad> free, TargetLoad owner, boolean shares, TargetSpeeds speeds) {
+    double worthwhile = shares ? Double.MAX_VALUE : costOf(owner, speeds) / WORTHWHILE;
+    return free.stream()
+        .filter(target -> costOf(target, speeds) < worthwhile)
+        .min(Comparator.comparingDouble(target -> costOf(target, speeds)));
   }
 
-  private Optional<KeyRange> hotKeyOf(TargetLoad target, KeyLoads loads) {
-    int hottest = -1;
-    double most = target.slots() * HOT_SHARE;
-    for (KeyRange range : target.ranges()) {
+  private static double costOf(TargetLoad target, TargetSpeeds speeds) {
+    return speeds.of(target.id()) / target.slots();
+  }
+
+  private static List<HotKey> hotKeysOf(TargetLoad owner, List<KeyRange> ranges, KeyLoads loads) {
+    List<HotKey> found = new ArrayList<>();
+    double least = owner.slots() * HOT_SHARE;
+    for (KeyRange range : ranges) {
       for (int key = range.first(); key <= range.last(); key++) {
-        if (loads.of(key) > most) {
-          hottest = key;
-          most = loads.of(key);
+        if (loads.of(key) > least) {
+          found.add(new HotKey(key, loads.of(key), owner));
         }
       }
     }
-    return hottest < 0 ? Optional.empty() : Optional.of(new KeyRange(hottest, hottest));
+    return found;
   }
+
+  /** A key that keeps most of its owner busy. */
+  private record HotKey(int key, double load, TargetLoad owner) {}
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
@@ -55,7 +55,7 @@
       if (!isWorthwhile(from, to, mean)) {
         break;
       }
-      Optional<KeyRange> keys = cut(from.ranges, wantedLoad(from, to), loads);
+      Optional<KeyRange> keys = cutFor(from, to, mean, loads);
       if (keys.isEmpty() && to.isEmpty()) {
         keys = startOfWidest(from.ranges);
       }
@@ -86,6 +86,26 @@
     return from.load - evenShare * from.slots;
   }
 
+  private Optional<KeyRange> cutFor(Share from, Share to, double mean, KeyLoads loads) {
+    double even = wantedLoad(from, to);
+    double room = roomOf(to, mean);
+    if (room > 0 && room < even) {
+      Optional<KeyRange> fitting = cut(from.ranges, room, loads);
+      if (fitting.isPresent()) {
+        return fitting;
+      }
+    }
+    return cut(from.ranges, even, loads);
+  }
+
+  /**
+   * A target that is given half of a hot spot is the next one that is too busy: with several idle
+   * ones each gets what it can bear, and every key moves once.
+   */
+  private double roomOf(Share to, double mean) {
+    return Math.max(settings.fillShare(), mean) * to.slots - to.load;
+  }
+
   private Optional<KeyRange> cut(List<KeyRange> ranges, double wanted, KeyLoads loads) {
     return ranges.stream()
         .map(range -> cheapest(range, wanted, loads))
@@ -173,12 +193,7 @@
         KeyRange range = ranges.get(i);
         if (range.contains(keys)) {
           ranges.remove(i);
-          if (range.first() < keys.first()) {
-            ranges.add(new KeyRange(range.first(), keys.first() - 1));
-          }
-          if (keys.last() < range.last()) {
-            ranges.add(new KeyRange(keys.last() + 1, range.last()));
-          }
+          ranges.addAll(range.without(keys));
           return;
         }
       }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/KeyRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/KeyRange.java
@@ -1,5 +1,8 @@
 package io.cuminvalve.core.lease;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * A run of neighbouring keys.
  *
@@ -58,6 +61,26 @@
     return first <= other.first && other.last <= last;
   }
 
+  /**
+   * Returns what is left of it without the keys of another range.
+   *
+   * @param other the other range; not null
+   * @return no range, one or two, in order; never null
+   */
+  public List<KeyRange> without(KeyRange other) {
+    if (other.last < first || last < other.first) {
+      return List.of(this);
+    }
+    List<KeyRange> left = new ArrayList<>();
+    if (first < other.first) {
+      left.add(new KeyRange(first, other.first - 1));
+    }
+    if (other.last < last) {
+      left.add(new KeyRange(other.last + 1, last));
+    }
+    return left;
+  }
+
   @Override
   public String toString() {
     return first + "-" + last;
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/balance/RangeBalancerTest.java
@@ -5,7 +5,6 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.KeyRange;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class RangeBalancerTest {
@@ -100,9 +99,9 @@
     busy(77, 3.0);
     TargetSpeeds speeds = new TargetSpeeds();
     speeds.onAnswers(B, 0.4, 1_000);
-    Optional<RangeMove> move =
-        new HotKeyPlacement().plan(List.of(first, second, third), loads, speeds);
-    assertThat(move).hasValue(new RangeMove(new KeyRange(77, 77), A, B));
+    List<RangeMove> moves =
+        new HotKeyPlacement().plan(List.of(first, second, third), loads, speeds, 10);
+    assertThat(moves).containsExactly(new RangeMove(new KeyRange(77, 77), A, B));
   }
 
   @Test
@@ -110,7 +109,8 @@
     busy(77, 3.0);
     TargetSpeeds speeds = new TargetSpeeds();
     speeds.onAnswers(A, 0.4, 1_000);
-    assertThat(new HotKeyPlacement().plan(List.of(first, second, third), loads, speeds)).isEmpty();
+    assertThat(new HotKeyPlacement().plan(List.of(first, second, third), loads, speeds, 10))
+        .isEmpty();
   }
 
   @Test
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.balance.BalancerSettings;
 import io.cuminvalve.core.balance.HotKeyPlacement;
 import io.cuminvalve.core.balance.KeyLoads;
+import io.cuminvalve.core.balance.MovePlanner;
 import io.cuminvalve.core.balance.OverloadPolicy;
 import io.cuminvalve.core.balance.RangeBalancer;
 import io.cuminvalve.core.balance.RangeMove;
@@ -47,9 +48,6 @@
   /** Pause between two looks for fragments, and so the least time that one is left alone. */
   private static final long TIDY_MS = 500;
 
-  /** Moves at the same time: each closes its keys for the rest of the work under way. */
-  private static final int MOVES_AT_ONCE = 10;
-
   /** A measurement counts for about this long: hot keys come and go within seconds. */
   private static final double LOAD_MEMORY_MS = 2_000;
 
@@ -73,10 +71,10 @@
   private final KeyLoads loads;
   private final TargetSpeeds speeds = new TargetSpeeds();
   private final Set<TargetId> busy = new HashSet<>();
-  private final HotKeyPlacement hotKeys = new HotKeyPlacement();
   private final RangeTidier tidier = new RangeTidier();
   private final OverloadPolicy overload = new OverloadPolicy();
-  private final RangeBalancer balancer = new RangeBalancer(BalancerSettings.DEFAULT);
+  private final MovePlanner planner =
+      new MovePlanner(new HotKeyPlacement(), new RangeBalancer(BalancerSettings.DEFAULT));
   private final long startedMs;
   private Map<KeyRange, Integer> refusedPercent = Map.of();
   private boolean refusalsChanged;
@@ -231,13 +229,10 @@
 
   private void balance(List<TargetLoad> targets, long nowMs) {
     noteBusyTargets(targets);
-    List<RangeMove> moves = hotKeys.plan(targets, loads, speeds).map(List::of).orElse(List.of());
-    if (moves.isEmpty()) {
-      moves = balancer.plan(targets, loads, MOVES_AT_ONCE);
-    }
+    List<RangeMove> moves = planner.plan(targets, loads, speeds);
     if (moves.isEmpty() && nowMs - tidiedMs >= TIDY_MS) {
       tidiedMs = nowMs;
-      moves = tidier.plan(targets, loads, MOVES_AT_ONCE);
+      moves = tidier.plan(targets, loads, MovePlanner.mostMoves(targets.size()));
     }
     for (RangeMove move : moves) {
       desk.move(move.keys(), move.to(), nowMs);
