--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/GuardedStore.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/GuardedStore.java
@@ -1,16 +1,12 @@
 package io.cuminvalve.gateway.control;
 
-import io.cuminvalve.ports.store.KeyValueStore;
-import io.cuminvalve.ports.store.LeaseResult;
 import io.cuminvalve.ports.store.ReadResult;
 import io.cuminvalve.ports.store.StoreCall;
 import io.cuminvalve.ports.store.StoreCallEnd;
 import io.cuminvalve.ports.store.StoreCallGuard;
-import io.cuminvalve.ports.store.StoreLeaseId;
 import io.cuminvalve.ports.store.StoreOutcome;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.ports.store.WatchResult;
-import io.cuminvalve.ports.store.WriteResult;
 import io.cuminvalve.testkit.time.VirtualClock;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -18,7 +14,7 @@
 import java.util.function.BooleanSupplier;
 
 /** A store that never changes and turns calls away while told so; each call asks a guard first. */
-final class GuardedStore implements KeyValueStore {
+final class GuardedStore extends ReadableStore {
 
   private final VirtualClock clock;
   private final StoreCallGuard guard;
@@ -73,30 +69,4 @@
                     answered ? StoreOutcome.DONE : StoreOutcome.UNAVAILABLE,
                     Optional.of(new StoreValue(new byte[0], 1))));
   }
-
-  @Override
-  public CompletableFuture<WriteResult> write(
-      String key, byte[] bytes, long expectedRevision, Optional<StoreLeaseId> lease) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<LeaseResult> createLease(long ttlMs) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<StoreOutcome> keepAlive(StoreLeaseId lease) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<StoreOutcome> endLease(StoreLeaseId lease) {
-    throw new UnsupportedOperationException();
-  }
 }
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReadableStore.java
@@ -0,0 +1,39 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.ports.store.LeaseResult;
+import io.cuminvalve.ports.store.StoreLeaseId;
+import io.cuminvalve.ports.store.StoreOutcome;
+import io.cuminvalve.ports.store.WriteResult;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** A store for tests that write nothing and need no lease: such a call is a fault of the test. */
+abstract class ReadableStore implements KeyValueStore {
+
+  @Override
+  public CompletableFuture<WriteResult> write(
+      String key, byte[] bytes, long expectedRevision, Optional<StoreLeaseId> lease) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<LeaseResult> createLease(long ttlMs) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<StoreOutcome> keepAlive(StoreLeaseId lease) {
+    throw new UnsupportedOperationException();
+  }
+
+  @Override
+  public CompletableFuture<StoreOutcome> endLease(StoreLeaseId lease) {
+    throw new UnsupportedOperationException();
+  }
+}
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchedStore.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchedStore.java
@@ -1,13 +1,9 @@
 package io.cuminvalve.gateway.control;
 
-import io.cuminvalve.ports.store.KeyValueStore;
-import io.cuminvalve.ports.store.LeaseResult;
 import io.cuminvalve.ports.store.ReadResult;
-import io.cuminvalve.ports.store.StoreLeaseId;
 import io.cuminvalve.ports.store.StoreOutcome;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.ports.store.WatchResult;
-import io.cuminvalve.ports.store.WriteResult;
 import io.cuminvalve.testkit.time.VirtualClock;
 import java.util.ArrayList;
 import java.util.List;
@@ -15,7 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 
 /** A store with one key that answers waiting calls when it changes, unless they fell silent. */
-final class WatchedStore implements KeyValueStore {
+final class WatchedStore extends ReadableStore {
 
   private final VirtualClock clock;
   private Optional<StoreValue> value = Optional.empty();
@@ -96,30 +92,4 @@
   public CompletableFuture<ReadResult> read(String key) {
     return CompletableFuture.completedFuture(new ReadResult(StoreOutcome.DONE, value));
   }
-
-  @Override
-  public CompletableFuture<WriteResult> write(
-      String key, byte[] bytes, long expectedRevision, Optional<StoreLeaseId> lease) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<WriteResult> delete(String key, long expectedRevision) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<LeaseResult> createLease(long ttlMs) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<StoreOutcome> keepAlive(StoreLeaseId lease) {
-    throw new UnsupportedOperationException();
-  }
-
-  @Override
-  public CompletableFuture<StoreOutcome> endLease(StoreLeaseId lease) {
-    throw new UnsupportedOperationException();
-  }
 }
