--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.router.caller.CallerEndPoint;
 import java.util.OptionalInt;
@@ -20,6 +21,7 @@
  * @param route its route; not null
  * @param service where it goes; not null
  * @param key its key, if the service has keys; not null
+ * @param identity by what it is recognised when it comes again; not null
  * @param headers the header fields to pass on; not null
  * @param body the body; empty if there is none; not null
  * @param arrivedMs when its head was read; milliseconds
@@ -33,6 +35,7 @@
     Route route,
     ServiceId service,
     OptionalInt key,
+    RequestIdentity identity,
     HttpFields headers,
     byte[] body,
     long arrivedMs,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -249,9 +249,10 @@
         .log()
         .write(
             event,
-            "id={} route={} service={} key={} target={} runs={} refusals={} age_ms={}"
-                + " config={} owners={} targets_age_ms={} why={}",
+            "id={} fingerprint={} route={} service={} key={} target={} runs={} refusals={}"
+                + " age_ms={} config={} owners={} targets_age_ms={} why={}",
             call.attemptId(),
+            call.identity(),
             call.route().name(),
             call.service(),
             call.key().isPresent() ? call.key().getAsInt() : "-",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -1,6 +1,8 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.quarantine.RequestFingerprint;
+import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.router.caller.CallerHeaders;
@@ -162,6 +164,7 @@
             route,
             service,
             key,
+            identityOf(request, key, body),
             CallerHeaders.passedOn(request.getHeaders()),
             body,
             arrivedMs,
@@ -170,6 +173,13 @@
     new GatewayExchange(services, call, () -> busy.remove(endPoint)).start();
   }
 
+  private static RequestIdentity identityOf(Request request, OptionalInt key, byte[] body) {
+    RequestFingerprint content =
+        RequestFingerprint.of(
+            request.getMethod(), hostOf(request), request.getHttpURI().getPathQuery(), key, body);
+    return new RequestIdentity(content, content.by(Request.getRemoteAddr(request)));
+  }
+
   private OptionalInt keyOf(Request request) {
     String text = request.getHeaders().get(services.headers().key());
     if (text == null) {
