Send a request to no target any more once three have ended under it

Cause: a request that ends each target that runs it came again at any gateway, every few seconds, and was passed on each time to the next owner of its key. Callers of the same targets lost their requests with each one. What a request does to targets was known only while one attempt lasted; no gateway sees enough of it alone.

Change: requests are recognised by content, and by content and caller. A broken attempt counts once the run of its target is known to have ended. What a gateway sees goes to the holder and its deputies at once, from the holder to everybody, and with hellos to whoever lacks it, so that losing any of them loses nothing. After three crashes, each of a target that got the request after the one before had ended, it is refused with 503 for 30 s; then one is tried; each further crash makes the next quarantine four times as long, up to 15 min. Any answer of a target clears it. Memory: 512 requests, 8 crashes each.

It holds since facts are merged, not counted by one process: whoever has seen three of them decides, in whatever order they came.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
@@ -37,6 +37,9 @@
   /** Answers from here on say that the target failed. */
   private static final int FIRST_ERROR_STATUS = 500;
 
+  /** Says in the log why a request was not sent on. */
+  private static final String QUARANTINED = "quarantined";
+
   private final ExchangeProfile profile;
   private final BooleanSupplier budget;
   private boolean done;
@@ -91,6 +94,23 @@
     return done ? List.of() : end(reason);
   }
 
+  /**
+   * Targets have ended under requests like this one: it goes to none any more.
+   *
+   * @param retryAfterMs when that is looked at again; milliseconds
+   * @return what to do; never null
+   */
+  public List<ExchangeEffect> onQuarantined(long retryAfterMs) {
+    if (done) {
+      return List.of();
+    }
+    done = true;
+    return List.of(
+        mayHaveRun
+            ? new ExchangeEffect.GiveUp(false, QUARANTINED)
+            : new ExchangeEffect.Refuse(retryAfterMs, QUARANTINED));
+  }
+
   /**
    * The target answered, whole: the request ran.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -12,6 +12,7 @@
  * @param configurationRevision the store's revision of the configuration that it knows; 0 if none
  * @param dataCentre where the sender runs; not null
  * @param processorCores how many cores it may use
+ * @param crashDigest tells whether both watch the same requests for crashes; 0 if it watches none
  * @since 0.2
  */
 public record FleetHello(
@@ -22,5 +23,6 @@
     long routesVersion,
     long configurationRevision,
     String dataCentre,
-    double processorCores)
+    double processorCores,
+    long crashDigest)
     implements FleetMessage {}
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeMachineTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeMachineTest.java
@@ -48,6 +48,18 @@
         .inOrder();
   }
 
+  @Test
+  void whatIsInQuarantineIsRefusedOnlyIfItHasNotRun() {
+    ExchangeMachine fresh = machine(true, true);
+    assertThat(fresh.onQuarantined(30_000))
+        .containsExactly(new ExchangeEffect.Refuse(30_000, "quarantined"));
+    assertThat(fresh.onQuarantined(30_000)).isEmpty();
+    ExchangeMachine broken = sent(true, true);
+    broken.onFailure(true, "reset", 10);
+    assertThat(broken.onQuarantined(30_000))
+        .containsExactly(new ExchangeEffect.GiveUp(false, "quarantined"));
+  }
+
   @Test
   void itRunsOnNoMoreTargetsThanAllowed() {
     ExchangeMachine machine = sent(true, false);
--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/quarantine/CrashLedgerTest.java
@@ -0,0 +1,192 @@
+package io.cuminvalve.core.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.id.TargetId;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+/** Which requests are at fault when targets end, and which were merely there. */
+class CrashLedgerTest {
+
+  private static final RequestFingerprint CONTENT = new RequestFingerprint(7);
+  private static final RequestFingerprint CALLER = CONTENT.by("10.0.0.1");
+  private static final RequestFingerprint OTHER_CALLER = CONTENT.by("10.0.0.2");
+  private static final long RUN_MS = 50;
+
+  private final CrashLedger ledger = new CrashLedger(0);
+  private int targets;
+
+  @Test
+  void threeCrashesInRowAreEnoughAndTwoAreNot() {
+    crash(CALLER, CALLER, 1_000);
+    assertThat(ledger.watched(2_000)).isEmpty();
+    crash(CALLER, CALLER, 4_000);
+    assertThat(ledger.watched(5_000)).containsExactly(CALLER);
+    assertThat(ledger.quarantinedUntilMs(5_000)).isEmpty();
+    crash(CALLER, CALLER, 8_000);
+    assertThat(ledger.quarantinedUntilMs(9_000))
+        .containsExactly(CALLER, 8_000 + CrashLedger.FIRST_QUARANTINE_MS);
+  }
+
+  @Test
+  void theSameTargetCountsOnce() {
+    CrashedRun run = new CrashedRun(new TargetId("core-1"), CALLER, 950, 1_000);
+    assertThat(ledger.onCrash(CALLER, run, 1_000)).isTrue();
+    assertThat(ledger.onCrash(CALLER, run, 1_000)).isFalse();
+    assertThat(ledger.onCrash(CALLER, run, 1_000)).isFalse();
+    assertThat(ledger.watched(1_000)).isEmpty();
+  }
+
+  /** A rack fails with ten targets; a request that many callers make was at all of them. */
+  @Test
+  void crashesAtOneMomentCountOnce() {
+    for (int i = 0; i < 10; i++) {
+      crash(CALLER, CALLER, 1_000 + i);
+    }
+    assertThat(ledger.watched(2_000)).isEmpty();
+  }
+
+  @Test
+  void anAnswerClearsOfWhatWasBeforeAndOfNothingAfter() {
+    crash(CALLER, CALLER, 1_000);
+    crash(CALLER, CALLER, 2_000);
+    assertThat(ledger.onAnswer(CALLER, 2_500, 2_500)).isTrue();
+    assertThat(ledger.watched(2_500)).isEmpty();
+    crash(CALLER, CALLER, 3_000);
+    crash(CALLER, CALLER, 4_000);
+    assertThat(ledger.quarantinedUntilMs(4_000)).isEmpty();
+    crash(CALLER, CALLER, 5_000);
+    assertThat(ledger.quarantinedUntilMs(5_000)).containsKey(CALLER);
+  }
+
+  @Test
+  void crashesBeforeAnAnswerAreNoNewsAfterIt() {
+    crash(CALLER, CALLER, 1_000);
+    ledger.onAnswer(CALLER, 2_000, 2_000);
+    CrashedRun late = new CrashedRun(new TargetId("core-late"), CALLER, 1_400, 1_500);
+    assertThat(ledger.onCrash(CALLER, late, 3_000)).isFalse();
+  }
+
+  @Test
+  void whatOneCallerCausesIsNoReasonToRefuseOthers() {
+    for (int i = 1; i <= 5; i++) {
+      crash(CALLER, CALLER, i * 1_000L);
+      crash(CONTENT, CALLER, i * 1_000L);
+    }
+    assertThat(ledger.quarantinedUntilMs(6_000).keySet()).containsExactly(CALLER);
+  }
+
+  @Test
+  void whatSeveralCallersCauseIsRefusedToAll() {
+    crash(CONTENT, CALLER, 1_000);
+    crash(CONTENT, OTHER_CALLER, 2_000);
+    crash(CONTENT, CALLER, 3_000);
+    assertThat(ledger.quarantinedUntilMs(3_000)).containsKey(CONTENT);
+  }
+
+  @Test
+  void crashesFarApartAreForgotten() {
+    crash(CALLER, CALLER, 1_000);
+    crash(CALLER, CALLER, 2_000);
+    long laterMs = 2_001 + CrashLedger.SUSPICION_MS;
+    assertThat(ledger.watched(laterMs)).isEmpty();
+    crash(CALLER, CALLER, laterMs + 100);
+    assertThat(ledger.watched(laterMs + 100)).isEmpty();
+  }
+
+  @Test
+  void oneCrashOnProbationBeginsLongerQuarantine() {
+    convict(CALLER);
+    long trialMs = 3_000 + CrashLedger.FIRST_QUARANTINE_MS + 500;
+    crash(CALLER, CALLER, trialMs);
+    assertThat(ledger.quarantinedUntilMs(trialMs).get(CALLER))
+        .isEqualTo(trialMs + 4 * CrashLedger.FIRST_QUARANTINE_MS);
+  }
+
+  @Test
+  void quarantinesGrowUpToTheirBound() {
+    convict(OTHER_CALLER);
+    for (int i = 4; i < 12; i++) {
+      crash(OTHER_CALLER, OTHER_CALLER, i * 1_000L);
+    }
+    assertThat(ledger.quarantinedUntilMs(12_000).get(OTHER_CALLER))
+        .isEqualTo(11_000 + CrashLedger.LONGEST_QUARANTINE_MS);
+  }
+
+  @Test
+  void whatIsOverIsForgotten() {
+    convict(CALLER);
+    long laterMs = 3_001 + CrashLedger.PROBATION_MS;
+    assertThat(ledger.quarantinedUntilMs(laterMs)).isEmpty();
+    assertThat(ledger.crashesOf(CALLER)).isEmpty();
+  }
+
+  /** A data centre with thousands of requests is lost after a request was found at fault. */
+  @Test
+  void memoryIsBoundedAndTheWorstStays() {
+    convict(CALLER);
+    for (int i = 0; i < 20_000; i++) {
+      RequestFingerprint bystander = new RequestFingerprint(1_000 + i);
+      ledger.onCrash(
+          bystander, new CrashedRun(new TargetId("core-x"), bystander, 9_900, 10_000), 10_000);
+    }
+    int known = 0;
+    for (int i = 0; i < 20_000; i++) {
+      known += ledger.crashesOf(new RequestFingerprint(1_000 + i)).size();
+    }
+    assertThat(known).isLessThan(CrashLedger.MOST_REQUESTS);
+    assertThat(ledger.quarantinedUntilMs(10_000)).containsKey(CALLER);
+  }
+
+  @Test
+  void reportsInAnyOrderLeadToTheSame() {
+    for (long seed = 0; seed < 200; seed++) {
+      Random random = new Random(seed);
+      List<CrashReport> reports = new ArrayList<>();
+      for (int i = 0; i < 6; i++) {
+        CrashLedger witness = new CrashLedger(0);
+        report(witness, random, i);
+        reports.addAll(witness.reports(List.of(CALLER), 20_000));
+      }
+      CrashLedger one = merged(reports, random);
+      CrashLedger two = merged(reports, random);
+      assertThat(one.quarantinedUntilMs(20_000)).isEqualTo(two.quarantinedUntilMs(20_000));
+      assertThat(one.watched(20_000)).isEqualTo(two.watched(20_000));
+    }
+  }
+
+  private static void report(CrashLedger witness, Random random, int number) {
+    long endedMs = 1_000 + random.nextInt(18_000);
+    CrashedRun run =
+        new CrashedRun(new TargetId("core-" + number), CALLER, endedMs - RUN_MS, endedMs);
+    witness.onCrash(CALLER, run, 20_000);
+    if (random.nextInt(4) == 0) {
+      witness.onAnswer(CALLER, 1_000 + random.nextInt(18_000), 20_000);
+    }
+  }
+
+  private static CrashLedger merged(List<CrashReport> reports, Random random) {
+    List<CrashReport> shuffled = new ArrayList<>(reports);
+    shuffled.addAll(reports);
+    Collections.shuffle(shuffled, random);
+    CrashLedger ledger = new CrashLedger(0);
+    shuffled.forEach(report -> ledger.merge(report, 20_000));
+    return ledger;
+  }
+
+  private void convict(RequestFingerprint fingerprint) {
+    crash(fingerprint, fingerprint, 1_000);
+    crash(fingerprint, fingerprint, 2_000);
+    crash(fingerprint, fingerprint, 3_000);
+  }
+
+  private void crash(RequestFingerprint fingerprint, RequestFingerprint caller, long endedMs) {
+    targets++;
+    TargetId target = new TargetId("core-" + targets);
+    ledger.onCrash(fingerprint, new CrashedRun(target, caller, endedMs - RUN_MS, endedMs), endedMs);
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Deputies.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Deputies.java
@@ -32,10 +32,16 @@
     return named.isEmpty() || named.contains(ownAddress);
   }
 
-  /** Returns whom to ask now; others the next time. */
-  List<String> next() {
+  /** Returns all deputies but this process. */
+  List<String> others() {
     List<String> others = new ArrayList<>(addresses);
     others.remove(ownAddress);
+    return others;
+  }
+
+  /** Returns whom to ask now; others the next time. */
+  List<String> next() {
+    List<String> others = others();
     List<String> asked = new ArrayList<>();
     for (int i = 0; i < Math.min(ASKED_AT_ONCE, others.size()); i++) {
       asked.add(others.get(turn % others.size()));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.protocol.PeerMessage;
+import io.cuminvalve.core.quarantine.CrashLedger;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -121,7 +122,8 @@
             pace,
             this::onReplaced,
             new LeasedTerm(),
-            deputies);
+            deputies,
+            new CrashLedger(random.nextDouble()));
     this.termLease =
         new TermLease(
             ports.store(),
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.protocol.ConfigurationNews;
+import io.cuminvalve.core.protocol.CrashNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
@@ -19,6 +20,7 @@
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.core.quarantine.CrashLedger;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -89,6 +91,7 @@
   private final long startedMs;
   private final Subscribers subscribers = new Subscribers();
   private final LeaseInheritance inheritance;
+  private final CrashDesk crashes;
   private final FleetView view = new FleetView();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
@@ -110,7 +113,8 @@
       FleetPace pace,
       Runnable onReplaced,
       TermKnowledge terms,
-      Deputies deputies) {
+      Deputies deputies,
+      CrashLedger ledger) {
     this.network = network;
     this.state = state;
     this.control = control;
@@ -122,6 +126,7 @@
     this.reports = reports;
     this.pace = pace;
     this.inheritance = new LeaseInheritance(network, subscribers, clock, onReplaced);
+    this.crashes = new CrashDesk(ledger, reports.quarantine(), new CrashAudience(), clock, log);
     this.terms = terms;
     this.deputies = deputies;
     this.configuration = configuration;
@@ -131,6 +136,10 @@
   }
 
   void start() {
+    reports.onCrash(attempts -> control.execute(() -> crashes.onCrashed(attempts)));
+    reports
+        .quarantine()
+        .onAnswered(fingerprint -> control.execute(() -> crashes.onAnswered(fingerprint)));
     if (!settings.firstStart()) {
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
@@ -192,6 +201,8 @@
         || message instanceof TargetTimesReport
         || message instanceof TargetReplaced) {
       duties.ifPresent(d -> d.onReport(message));
+    } else if (message instanceof CrashNews news) {
+      crashes.onNews(news, sender::send);
     } else if (message instanceof FleetBeat beat) {
       onBeat(sender, beat);
     } else if (message instanceof FollowerBeat beat) {
@@ -212,6 +223,7 @@
   private void onPace() {
     if (duties.isPresent()) {
       inheritance.ask();
+      crashes.onConfidants(Optional.empty(), subscribers.deputies());
       state.confirmTargets(clock.nowMs() - duties.get().registryAgeMs());
       subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
@@ -277,7 +289,8 @@
         settings.process(),
         settings.dataCentre(),
         settings.processorCores(),
-        configuration.revision());
+        configuration.revision(),
+        crashes.digest());
   }
 
   private void openOwnFollower() {
@@ -314,6 +327,7 @@
       return;
     }
     deputies.onNamed(beat.deputies());
+    crashes.onConfidants(holderAddress, deputies.others());
     if (Math.max(beat.termAgeMs(), beat.configurationAgeMs()) <= FRESH_MS) {
       freshBeatMs = clock.nowMs();
     }
@@ -429,6 +443,7 @@
               configuration.revision(),
               configuration.ageMs()));
     }
+    crashes.onDigest(hello.crashDigest(), sender::send);
     configuration
         .lackedBy(hello.configurationRevision())
         .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
@@ -468,6 +483,25 @@
     subscribers.tell(news);
   }
 
+  /** Whom this gateway tells of crashes. */
+  private final class CrashAudience implements CrashDesk.Audience {
+
+    @Override
+    public boolean isHolder() {
+      return duties.isPresent();
+    }
+
+    @Override
+    public void tellAll(FleetMessage message) {
+      subscribers.tell(message);
+    }
+
+    @Override
+    public void tell(String address, FleetMessage message) {
+      network.send(address, message);
+    }
+  }
+
   /** What the store says counts only until a holder says more. */
   private final class FirstKnowledge implements FirstLook.Listener {
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -38,7 +38,11 @@
   }
 
   FleetHello hello(
-      String process, String dataCentre, double processorCores, long configurationRevision) {
+      String process,
+      String dataCentre,
+      double processorCores,
+      long configurationRevision,
+      long crashDigest) {
     return new FleetHello(
         process,
         targets.term(),
@@ -47,7 +51,8 @@
         routes.version(),
         configurationRevision,
         dataCentre,
-        processorCores);
+        processorCores,
+        crashDigest);
   }
 
   /** Notes what this process, as the holder, knows now. Returns what the others have to hear. */
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ConnectProbe.java
@@ -0,0 +1,67 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.kernel.NamedThreads;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** Probes targets one after the other, on a thread that exists only while there are probes. */
+final class ConnectProbe implements TargetProbe, AutoCloseable {
+
+  /** More targets than this do not end at one moment but with a data centre. */
+  private static final int MOST_WAITING = 64;
+
+  private static final int IDLE_SECONDS = 5;
+
+  private final int timeoutMs;
+  private final ThreadPoolExecutor executor;
+
+  ConnectProbe(int timeoutMs) {
+    this.timeoutMs = timeoutMs;
+    this.executor =
+        new ThreadPoolExecutor(
+            1,
+            1,
+            IDLE_SECONDS,
+            TimeUnit.SECONDS,
+            new ArrayBlockingQueue<>(MOST_WAITING),
+            NamedThreads.daemon("probe"));
+    executor.allowCoreThreadTimeOut(true);
+  }
+
+  @Override
+  public void probe(String address, Consumer<Finding> onDone) {
+    try {
+      executor.execute(() -> onDone.accept(look(address)));
+    } catch (RejectedExecutionException tooMany) {
+      // The registry will tell, later.
+      onDone.accept(Finding.SILENT);
+    }
+  }
+
+  private Finding look(String address) {
+    int colon = address.lastIndexOf(':');
+    InetSocketAddress to =
+        new InetSocketAddress(
+            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    try (Socket socket = new Socket()) {
+      socket.connect(to, timeoutMs);
+      return Finding.LISTENING;
+    } catch (ConnectException refused) {
+      return Finding.REFUSED;
+    } catch (IOException noAnswer) {
+      return Finding.SILENT;
+    }
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -15,6 +15,8 @@
  * @param dispatcher gives slots; not null
  * @param client talks to targets; not null
  * @param budgets bound repeats; not null
+ * @param quarantine tells what must not be sent; not null
+ * @param witness finds out under which requests targets end; not null
  * @param keyWork sums up the work of keys; not null
  * @param timers run deadlines; not null
  * @param clock the time; not null
@@ -28,6 +30,8 @@
     Dispatcher dispatcher,
     TargetClient client,
     RepeatBudgets budgets,
+    RequestQuarantine quarantine,
+    CrashWitness witness,
     KeyWorkMeter keyWork,
     Timers timers,
     MillisClock clock,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -59,6 +59,9 @@
     call.watchCaller(this::onCallerGone);
     long nowMs = services.clock().nowMs();
     deadline = services.timers().schedule(this::onDeadline, Math.max(0, call.deadlineMs() - nowMs));
+    if (isRefused(services.quarantine().admit(call.identity()))) {
+      return;
+    }
     boolean turnedAway = services.dispatcher().turnsAway(wish);
     if (turnedAway) {
       countUnservedWork();
@@ -69,7 +72,23 @@
   private void onPlaced(Slot placed) {
     patience.cancel();
     slot = placed;
-    decide(machine::onSlot);
+    long refusedForMs =
+        machine.runs() == 0
+            ? services.quarantine().refusedForMs(call.identity())
+            : services.quarantine().refusedForMsAfterBreak(call.identity());
+    if (isRefused(refusedForMs)) {
+      services.dispatcher().giveBack(placed, wish, AttemptEnd.GIVEN_UP, 0);
+    } else {
+      decide(machine::onSlot);
+    }
+  }
+
+  /** Ends a request that may be sent to no target; that may come up while it waits. */
+  private boolean isRefused(long forMs) {
+    if (forMs > 0) {
+      decide(() -> machine.onQuarantined(forMs));
+    }
+    return forMs > 0;
   }
 
   private void onOutOfPatience() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -54,6 +54,7 @@
   private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
   private final RequestTimers timers = new RequestTimers();
+  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS);
   private final TrafficReports reports;
   private final GatewayHandler handler;
 
@@ -87,12 +88,16 @@
     KeyWorkMeter keyWork = new KeyWorkMeter();
     Dispatcher dispatcher =
         new Dispatcher(state, new DataCentreId(settings.dataCentre()), clock, random.split());
+    RequestQuarantine quarantine = new RequestQuarantine(clock);
+    CrashWitness witness = new CrashWitness(state, probe, timers, clock);
     ExchangeServices services =
         new ExchangeServices(
             state,
             dispatcher,
             client,
             new RepeatBudgets(settings, clock),
+            quarantine,
+            witness,
             keyWork,
             timers,
             clock,
@@ -100,7 +105,7 @@
             log,
             metrics,
             stopping);
-    this.reports = new TrafficReports(keyWork, dispatcher);
+    this.reports = new TrafficReports(keyWork, dispatcher, quarantine, witness);
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress());
@@ -113,6 +118,10 @@
         "cuminvalve_requests_waiting",
         "Requests that wait for a slot of a target.",
         dispatcher::waitingCount);
+    page.addGauge(
+        "cuminvalve_quarantined_requests",
+        "Requests that go to no target, since several have ended under them.",
+        quarantine::size);
   }
 
   /** Few connections: one thread accepts and reads them. */
@@ -159,6 +168,7 @@
       throw new CodedException(ErrorCode.INTERNAL, "the server does not stop", e);
     }
     client.stop();
+    probe.close();
     timers.stop();
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.router.target.TargetExchange;
 import io.cuminvalve.router.target.TargetListener;
 import io.cuminvalve.router.target.TargetRequest;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -144,6 +145,7 @@
   private void onWhole(TargetAnswer answer, boolean notExecuted, byte[] body, Throwable cut) {
     if (cut != null) {
       exchange.abandon("the answer was cut");
+      onBroken();
       fail(true, "cut_answer");
       return;
     }
@@ -155,7 +157,12 @@
       }
       return;
     }
-    end = answer.status() < FIRST_ERROR_STATUS ? AttemptEnd.ANSWERED : AttemptEnd.FAILED;
+    services.witness().onAlive(slot.target().id(), sentMs);
+    boolean failed = answer.status() >= FIRST_ERROR_STATUS;
+    end = failed ? AttemptEnd.FAILED : AttemptEnd.ANSWERED;
+    if (!failed) {
+      services.quarantine().onAnswer(call.identity());
+    }
     wish.answered(body.length);
     if (ended.compareAndSet(false, true)) {
       listener.onAnswer(this, answer.status(), answer.headers(), body);
@@ -167,14 +174,33 @@
     String answering = headers.get(services.headers().answeringTarget());
     if (answering != null && !answering.equals(slot.target().id().name())) {
       services.dispatcher().onReplaced(slot.target().id());
+      services.witness().onEnded(slot.target().id());
     }
   }
 
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
+    if (handedOver) {
+      onBroken();
+    } else if (cause instanceof ConnectException) {
+      services.witness().onEnded(slot.target().id());
+    }
     fail(handedOver, cause.getClass().getSimpleName());
   }
 
+  /** The target may have ended while it ran the request, perhaps because of it. */
+  private void onBroken() {
+    if (ended.get()) {
+      return;
+    }
+    long nowMs = services.clock().nowMs();
+    services
+        .witness()
+        .onBroken(
+            new BrokenAttempt(call.attemptId(), call.identity(), slot.target().id(), sentMs, nowMs),
+            slot.target());
+  }
+
   private void fail(boolean mayHaveRun, String reason) {
     if (ended.compareAndSet(false, true)) {
       end = AttemptEnd.NO_ANSWER;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.core.protocol.TargetReplaced;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 /**
  * What traffic measured, for the holder of the term.
@@ -15,9 +16,36 @@
   private final KeyWorkMeter keyWork;
   private final Dispatcher dispatcher;
 
-  TrafficReports(KeyWorkMeter keyWork, Dispatcher dispatcher) {
+  private final RequestQuarantine quarantine;
+  private final CrashWitness witness;
+
+  TrafficReports(
+      KeyWorkMeter keyWork,
+      Dispatcher dispatcher,
+      RequestQuarantine quarantine,
+      CrashWitness witness) {
     this.keyWork = keyWork;
     this.dispatcher = dispatcher;
+    this.quarantine = quarantine;
+    this.witness = witness;
+  }
+
+  /**
+   * Returns which requests are sent to no target.
+   *
+   * @return never null
+   */
+  public RequestQuarantine quarantine() {
+    return quarantine;
+  }
+
+  /**
+   * Sets who is told of requests under which a target ended, at once.
+   *
+   * @param listener called on any thread; must not block; not null
+   */
+  public void onCrash(Consumer<List<BrokenAttempt>> listener) {
+    witness.onCrash(listener);
   }
 
   /**
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CrashWitnessTest.java
@@ -0,0 +1,143 @@
+package io.cuminvalve.gateway.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.quarantine.RequestFingerprint;
+import io.cuminvalve.core.quarantine.RequestIdentity;
+import io.cuminvalve.testkit.time.VirtualClock;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** A connection that breaks is no crash by itself. */
+class CrashWitnessTest {
+
+  private static final TargetId TARGET_ID = new TargetId("core-1");
+  private static final FleetTarget TARGET =
+      new FleetTarget(
+          TARGET_ID,
+          new ServiceId("core"),
+          "10.0.0.1:1",
+          new DataCentreId("here"),
+          4,
+          TargetPhase.READY,
+          0);
+
+  private static final RequestFingerprint CONTENT = new RequestFingerprint(1);
+  private static final RequestIdentity IDENTITY = new RequestIdentity(CONTENT, CONTENT.by("a"));
+
+  private final VirtualClock clock = new VirtualClock(1_000);
+  private final RoutingState state = new RoutingState(10);
+  private final List<String> crashed = new ArrayList<>();
+  private TargetProbe.Finding finding = TargetProbe.Finding.SILENT;
+  private int probes;
+  private CrashWitness witness;
+
+  @BeforeEach
+  void setUp() {
+    state.update(snapshot -> snapshot.withTargets(List.of(TARGET)));
+    witness =
+        new CrashWitness(
+            state,
+            (address, onDone) -> {
+              probes++;
+              onDone.accept(finding);
+            },
+            (task, delayMs) -> {
+              clock.schedule(delayMs, task);
+              return () -> {};
+            },
+            clock);
+    witness.onCrash(attempts -> attempts.forEach(attempt -> crashed.add(attempt.attemptId())));
+  }
+
+  @Test
+  void targetsThatRefuseConnectionsHaveEnded() {
+    breaksOff("one");
+    breaksOff("two");
+    assertThat(crashed).isEmpty();
+    witness.onEnded(TARGET_ID);
+    assertThat(crashed).containsExactly("one", "two");
+    clock.advance(1_000);
+    assertThat(probes).isEqualTo(0);
+  }
+
+  @Test
+  void targetsThatNobodyElseAsksAreProbedOnce() {
+    finding = TargetProbe.Finding.REFUSED;
+    breaksOff("one");
+    breaksOff("two");
+    clock.advance(1_000);
+    assertThat(crashed).containsExactly("one", "two");
+    assertThat(probes).isEqualTo(1);
+  }
+
+  @Test
+  void targetsThatListenLive() {
+    finding = TargetProbe.Finding.LISTENING;
+    breaksOff("one");
+    clock.advance(1_000);
+    witness.onEnded(TARGET_ID);
+    assertThat(crashed).isEmpty();
+  }
+
+  @Test
+  void answersToLaterRequestsShowThatTheTargetLivesAndSpareTheProbe() {
+    breaksOff("one");
+    clock.advance(10);
+    witness.onAlive(TARGET_ID, clock.nowMs());
+    clock.advance(1_000);
+    witness.onEnded(TARGET_ID);
+    assertThat(crashed).isEmpty();
+    assertThat(probes).isEqualTo(0);
+  }
+
+  @Test
+  void answersToEarlierRequestsShowNothing() {
+    clock.advance(100);
+    final long beforeMs = clock.nowMs();
+    clock.advance(100);
+    breaksOff("one");
+    witness.onAlive(TARGET_ID, beforeMs);
+    witness.onEnded(TARGET_ID);
+    assertThat(crashed).containsExactly("one");
+  }
+
+  @Test
+  void silentTargetsHaveEndedOnceTheRegistryHasThemNoLonger() {
+    breaksOff("one");
+    clock.advance(4_000);
+    assertThat(crashed).isEmpty();
+    state.update(snapshot -> snapshot.withTargets(List.of()));
+    assertThat(crashed).containsExactly("one");
+  }
+
+  @Test
+  void whatBrokeLongBeforeTheEndHadNoPartInIt() {
+    breaksOff("one");
+    clock.advance(60_000);
+    state.update(snapshot -> snapshot.withTargets(List.of()));
+    assertThat(crashed).isEmpty();
+  }
+
+  @Test
+  void memoryIsBounded() {
+    for (int i = 0; i < 10_000; i++) {
+      breaksOff("attempt-" + i);
+    }
+    witness.onEnded(TARGET_ID);
+    assertThat(crashed.size()).isLessThan(1_000);
+    assertThat(crashed).isNotEmpty();
+  }
+
+  private void breaksOff(String attemptId) {
+    long nowMs = clock.nowMs();
+    witness.onBroken(new BrokenAttempt(attemptId, IDENTITY, TARGET_ID, nowMs, nowMs), TARGET);
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RequestQuarantineTest.java
@@ -0,0 +1,95 @@
+package io.cuminvalve.gateway.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.quarantine.RequestFingerprint;
+import io.cuminvalve.core.quarantine.RequestIdentity;
+import io.cuminvalve.testkit.time.VirtualClock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class RequestQuarantineTest {
+
+  private static final RequestFingerprint CONTENT = new RequestFingerprint(1);
+  private static final RequestIdentity ONE = new RequestIdentity(CONTENT, CONTENT.by("one"));
+  private static final RequestIdentity TWO = new RequestIdentity(CONTENT, CONTENT.by("two"));
+
+  private final VirtualClock clock = new VirtualClock(1_000);
+  private final RequestQuarantine quarantine = new RequestQuarantine(clock);
+
+  @Test
+  void allRequestsMayBeSentAtFirst() {
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+    assertThat(quarantine.refusedForMs(ONE)).isEqualTo(0);
+  }
+
+  @Test
+  void oneCallersRequestIsRefusedAndAnothersIsNot() {
+    install(ONE.contentAndCaller(), 500);
+    assertThat(quarantine.admit(ONE)).isEqualTo(500);
+    assertThat(quarantine.admit(TWO)).isEqualTo(0);
+  }
+
+  @Test
+  void someContentIsRefusedToAllCallers() {
+    install(CONTENT, 500);
+    assertThat(quarantine.admit(ONE)).isEqualTo(500);
+    assertThat(quarantine.admit(TWO)).isEqualTo(500);
+  }
+
+  @Test
+  void afterTheQuarantineOneIsTriedAndTheOthersWaitForIt() {
+    install(CONTENT, 500);
+    clock.advance(500);
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+    assertThat(quarantine.refusedForMs(ONE)).isEqualTo(0);
+    assertThat(quarantine.admit(ONE)).isGreaterThan(0L);
+    assertThat(quarantine.admit(TWO)).isGreaterThan(0L);
+    assertThat(quarantine.refusedForMsAfterBreak(ONE)).isGreaterThan(0L);
+  }
+
+  @Test
+  void trialsThatNobodyHearsOfAreFollowedByOthers() {
+    install(CONTENT, 0);
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+    clock.advance(quarantine.admit(ONE));
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+  }
+
+  @Test
+  void whatIsClearedIsSentAgain() {
+    install(CONTENT, 500);
+    quarantine.install(Map.of(), Set.of());
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+  }
+
+  @Test
+  void answersOfWatchedRequestsAreTold() {
+    List<RequestFingerprint> told = new ArrayList<>();
+    quarantine.onAnswered(told::add);
+    quarantine.onAnswer(ONE);
+    assertThat(told).isEmpty();
+    quarantine.install(Map.of(), Set.of(CONTENT));
+    quarantine.onAnswer(ONE);
+    assertThat(told).containsExactly(CONTENT);
+  }
+
+  @Test
+  void theLastAnswerIsKnownAndThatOfOthersIsNotTakenForIt() {
+    clock.advance(40);
+    quarantine.onAnswer(ONE);
+    assertThat(quarantine.lastAnsweredMs(ONE.contentAndCaller()).getAsLong())
+        .isEqualTo(clock.nowMs());
+    assertThat(quarantine.lastAnsweredMs(TWO.contentAndCaller()).isEmpty()).isTrue();
+    RequestFingerprint samePlace = new RequestFingerprint(CONTENT.value() + (1L << 40));
+    assertThat(quarantine.lastAnsweredMs(samePlace).isEmpty()).isTrue();
+  }
+
+  private void install(RequestFingerprint fingerprint, long forMs) {
+    quarantine.install(Map.of(fingerprint, clock.nowMs() + forMs), Set.of(fingerprint));
+  }
+}
--- a/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/NamedThreads.java
+++ b/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/NamedThreads.java
@@ -8,11 +8,17 @@
  *
  * @since 0.1
  */
-final class NamedThreads {
+public final class NamedThreads {
 
   private NamedThreads() {}
 
-  static ThreadFactory daemon(String name) {
+  /**
+   * Makes daemon threads, numbered from 1.
+   *
+   * @param name the name before the number; not null
+   * @return never null
+   */
+  public static ThreadFactory daemon(String name) {
     AtomicInteger count = new AtomicInteger();
     return task -> {
       Thread thread = new Thread(task, name + "-" + count.incrementAndGet());
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.protocol.ConfigPush;
 import io.cuminvalve.core.protocol.ConfigRequest;
 import io.cuminvalve.core.protocol.ConfigurationNews;
+import io.cuminvalve.core.protocol.CrashNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetNews;
@@ -111,7 +112,8 @@
           type(46, RoutesChange.class),
           type(47, TargetsChange.class),
           type(48, ConfigurationNews.class),
-          type(49, FollowerBeat.class));
+          type(49, FollowerBeat.class),
+          type(50, CrashNews.class));
 
   private PeerMessageTypes() {}
 
