Tell in `explain log` why a request is in quarantine

Cause: a request refused as `quarantined` said nothing of the targets behind it.

Change: the causes name each target that ended under a request like it, the request and the gateway that found out, and since when its gateway refuses it.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/CauseFinder.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/CauseFinder.java
@@ -32,6 +32,7 @@
     if (served) {
       return causes;
     }
+    causes.addAll(new QuarantineFinder(end).causes(lines));
     OptionalInt key = end.key();
     if (key.isPresent()) {
       addOwner(KeyStory.of(key.getAsInt(), end.value("service"), lines), causes);
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -19,6 +19,8 @@
           Map.entry("no_target", "no target of the service was ready"),
           Map.entry("targets_busy", "every target had as many requests as this gateway may send"),
           Map.entry("refused_by_target", "targets proved several times that they did not run it"),
+          Map.entry(
+              "quarantined", "several targets ended under requests like it, so it is sent to none"),
           Map.entry("timeout", "its time was over while a target worked on it"),
           Map.entry("timeout_unsent", "its time was over before it was sent"),
           Map.entry("foreign_answer", "the target answered another request on its connection"),
