Keep in the store what is in quarantine; split the link between gateways

Cause: a fleet that is lost whole would send a request to three more targets before it knew it again.

Change: the holder writes `cuminvalve/crashes` when the quarantine changes and reads it once when it gains the term.

Figures: one more read of the store for each change of the holder, one write for each quarantine.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
@@ -45,6 +45,9 @@
 
     /** Tells one process. */
     void tell(String address, FleetMessage message);
+
+    /** Keeps, as the holder, what is in quarantine for a fleet that is lost whole. */
+    void keep(CrashNews quarantined);
   }
 
   /** Seen by this gateway itself and kept for a holder to come; the oldest go first. */
@@ -58,6 +61,7 @@
   private final Set<RequestFingerprint> seen = new LinkedHashSet<>();
   private Set<String> confidants = Set.of();
   private Set<RequestFingerprint> watched = Set.of();
+  private long keptDigest;
   private Map<RequestFingerprint, Long> refused = Map.of();
   private final Map<RequestFingerprint, Integer> crashCounts = new HashMap<>();
 
@@ -186,9 +190,24 @@
       spread.addAll(heard);
       spread.removeIf(changed -> !before.contains(changed) && !watched.contains(changed));
       tellAll(spread);
+      keepQuarantined();
+    }
+  }
+
+  private void keepQuarantined() {
+    long digest = refused.keySet().stream().mapToLong(this::digestOf).sum();
+    if (digest != keptDigest) {
+      keptDigest = digest;
+      audience.keep(new CrashNews(false, ledger.reports(refused.keySet(), clock.nowMs())));
     }
   }
 
+  /** This process holds the term now, and this is what the holder before it kept. */
+  void onStored(CrashNews stored) {
+    onNews(stored, message -> {});
+    keepQuarantined();
+  }
+
   private void tellConfidants(Set<RequestFingerprint> changed) {
     if (!changed.isEmpty()) {
       CrashNews news = new CrashNews(false, ledger.reports(changed, clock.nowMs()));
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashLink.java
@@ -0,0 +1,106 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.protocol.CrashNews;
+import io.cuminvalve.core.protocol.FleetHello;
+import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.quarantine.CrashLedger;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.TrafficReports;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.ports.store.KeyValueStore;
+import io.cuminvalve.wire.PeerChannel;
+import io.cuminvalve.wire.PeerNetwork;
+import io.cuminvalve.wire.RecordCodec;
+import java.util.Collection;
+import java.util.Optional;
+
+/**
+ * Connects the {@link CrashDesk} of this gateway with its traffic, the other gateways and the
+ * store. For the control thread.
+ */
+final class CrashLink implements CrashDesk.Audience {
+
+  private final PeerNetwork network;
+  private final Subscribers subscribers;
+  private final ControlThread control;
+  private final TrafficReports reports;
+  private final CrashDesk desk;
+  private final CrashArchive archive;
+  private boolean holder;
+
+  CrashLink(
+      PeerNetwork network,
+      Subscribers subscribers,
+      KeyValueStore store,
+      RecordCodec codec,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log,
+      TrafficReports reports,
+      CrashLedger ledger) {
+    this.network = network;
+    this.subscribers = subscribers;
+    this.control = control;
+    this.reports = reports;
+    this.desk = new CrashDesk(ledger, reports.quarantine(), this, clock, log);
+    this.archive = new CrashArchive(store, control, log, codec, desk::onStored);
+  }
+
+  void start() {
+    reports.onCrash(attempts -> control.execute(() -> desk.onCrashed(attempts)));
+    reports
+        .quarantine()
+        .onAnswered(fingerprint -> control.execute(() -> desk.onAnswered(fingerprint)));
+  }
+
+  /** This gateway holds the term now. */
+  void onGained() {
+    holder = true;
+    archive.open();
+  }
+
+  /** This gateway holds the term no longer. */
+  void onLost() {
+    holder = false;
+    archive.close();
+  }
+
+  /** Returns what this gateway knows, in short, for its hellos. */
+  long digest() {
+    return desk.digest();
+  }
+
+  void onHello(PeerChannel sender, FleetHello hello) {
+    desk.onDigest(hello.crashDigest(), sender::send);
+  }
+
+  void onNews(PeerChannel sender, CrashNews news) {
+    desk.onNews(news, sender::send);
+  }
+
+  /** The holder, unless it is this gateway, and its deputies are these. */
+  void onConfidants(Optional<String> holderAddress, Collection<String> deputies) {
+    desk.onConfidants(holderAddress, deputies);
+  }
+
+  @Override
+  public boolean isHolder() {
+    return holder;
+  }
+
+  @Override
+  public void tellAll(FleetMessage message) {
+    subscribers.tell(message);
+  }
+
+  @Override
+  public void tell(String address, FleetMessage message) {
+    network.send(address, message);
+  }
+
+  @Override
+  public void keep(CrashNews quarantined) {
+    archive.keep(quarantined);
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -91,11 +91,11 @@
   private final long startedMs;
   private final Subscribers subscribers = new Subscribers();
   private final LeaseInheritance inheritance;
-  private final CrashDesk crashes;
+  private final CrashLink crashes;
+  private final OwnRegistryLook ownLook;
   private final FleetView view = new FleetView();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
-  private Optional<RegistryFollower> ownFollower = Optional.empty();
   private long heardMs;
   private long freshBeatMs;
 
@@ -126,7 +126,10 @@
     this.reports = reports;
     this.pace = pace;
     this.inheritance = new LeaseInheritance(network, subscribers, clock, onReplaced);
-    this.crashes = new CrashDesk(ledger, reports.quarantine(), new CrashAudience(), clock, log);
+    this.crashes =
+        new CrashLink(
+            network, subscribers, ports.store(), codec, control, clock, log, reports, ledger);
+    this.ownLook = new OwnRegistryLook(ports, state, control, clock, log);
     this.terms = terms;
     this.deputies = deputies;
     this.configuration = configuration;
@@ -136,10 +139,7 @@
   }
 
   void start() {
-    reports.onCrash(attempts -> control.execute(() -> crashes.onCrashed(attempts)));
-    reports
-        .quarantine()
-        .onAnswered(fingerprint -> control.execute(() -> crashes.onAnswered(fingerprint)));
+    crashes.start();
     if (!settings.firstStart()) {
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
@@ -174,8 +174,10 @@
       Optional<String> holderBefore = holderAddress;
       holderAddress = Optional.empty();
       inheritance.onGained(now.get(), holderBefore);
-      closeOwnFollower();
+      ownLook.close();
+      crashes.onGained();
     } else {
+      crashes.onLost();
       subscribers.clear();
     }
   }
@@ -202,7 +204,7 @@
         || message instanceof TargetReplaced) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof CrashNews news) {
-      crashes.onNews(news, sender::send);
+      crashes.onNews(sender, news);
     } else if (message instanceof FleetBeat beat) {
       onBeat(sender, beat);
     } else if (message instanceof FollowerBeat beat) {
@@ -229,12 +231,12 @@
       updateProcesses();
       return;
     }
-    ownFollower.ifPresent(own -> state.confirmTargets(clock.nowMs() - own.ageMs()));
+    ownLook.confirmTargets();
     sayHello();
     askSeeds();
     boolean silent = clock.nowMs() - heardMs > pace.silentMs();
-    if (silent && ownFollower.isEmpty()) {
-      openOwnFollower();
+    if (silent && !ownLook.isOpen()) {
+      lookOneself();
     }
   }
 
@@ -293,32 +295,10 @@
         crashes.digest());
   }
 
-  private void openOwnFollower() {
+  private void lookOneself() {
     log.write("holder_silent", "holder={}", holderAddress.orElse("-"));
-    RegistryFollower follower =
-        new RegistryFollower(
-            ports.registry(),
-            control,
-            clock,
-            log,
-            List.copyOf(state.current().targets()),
-            this::onOwnTargets);
-    ownFollower = Optional.of(follower);
+    ownLook.open();
     view.distrustTargets();
-    follower.start();
-  }
-
-  private void closeOwnFollower() {
-    ownFollower.ifPresent(RegistryFollower::close);
-    ownFollower = Optional.empty();
-  }
-
-  private void onOwnTargets() {
-    ownFollower.ifPresent(
-        follower -> {
-          List<FleetTarget> targets = follower.register().all();
-          state.update(snapshot -> snapshot.withTargets(targets));
-        });
   }
 
   private void onBeat(PeerChannel holder, FleetBeat beat) {
@@ -360,7 +340,7 @@
 
   private void installTargets() {
     if (clock.nowMs() - heardMs <= pace.silentMs()) {
-      closeOwnFollower();
+      ownLook.close();
       List<FleetTarget> targets = view.targets().targets();
       state.update(snapshot -> snapshot.withTargets(targets));
     }
@@ -443,7 +423,7 @@
               configuration.revision(),
               configuration.ageMs()));
     }
-    crashes.onDigest(hello.crashDigest(), sender::send);
+    crashes.onHello(sender, hello);
     configuration
         .lackedBy(hello.configurationRevision())
         .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
@@ -483,25 +463,6 @@
     subscribers.tell(news);
   }
 
-  /** Whom this gateway tells of crashes. */
-  private final class CrashAudience implements CrashDesk.Audience {
-
-    @Override
-    public boolean isHolder() {
-      return duties.isPresent();
-    }
-
-    @Override
-    public void tellAll(FleetMessage message) {
-      subscribers.tell(message);
-    }
-
-    @Override
-    public void tell(String address, FleetMessage message) {
-      network.send(address, message);
-    }
-  }
-
   /** What the store says counts only until a holder says more. */
   private final class FirstKnowledge implements FirstLook.Listener {
 
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
@@ -0,0 +1,72 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Follows the registry of targets for this gateway alone, while it hears nothing of them from the
+ * holder. For the control thread.
+ */
+final class OwnRegistryLook {
+
+  private final GatewayPorts ports;
+  private final RoutingState state;
+  private final ControlThread control;
+  private final MillisClock clock;
+  private final DecisionLog log;
+  private Optional<RegistryFollower> follower = Optional.empty();
+
+  OwnRegistryLook(
+      GatewayPorts ports,
+      RoutingState state,
+      ControlThread control,
+      MillisClock clock,
+      DecisionLog log) {
+    this.ports = ports;
+    this.state = state;
+    this.control = control;
+    this.clock = clock;
+    this.log = log;
+  }
+
+  boolean isOpen() {
+    return follower.isPresent();
+  }
+
+  void open() {
+    RegistryFollower opened =
+        new RegistryFollower(
+            ports.registry(),
+            control,
+            clock,
+            log,
+            List.copyOf(state.current().targets()),
+            this::onTargets);
+    follower = Optional.of(opened);
+    opened.start();
+  }
+
+  void close() {
+    follower.ifPresent(RegistryFollower::close);
+    follower = Optional.empty();
+  }
+
+  /** Says how old the known targets are, if they were read here. */
+  void confirmTargets() {
+    follower.ifPresent(own -> state.confirmTargets(clock.nowMs() - own.ageMs()));
+  }
+
+  private void onTargets() {
+    follower.ifPresent(
+        own -> {
+          List<FleetTarget> targets = own.register().all();
+          state.update(snapshot -> snapshot.withTargets(targets));
+        });
+  }
+}
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashDeskTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashDeskTest.java
@@ -81,6 +81,18 @@
     assertThat(fleet.refusing(DEADLY)).isEqualTo(fleet.living());
   }
 
+  @Test
+  void theFleetThatWasLostWholeKnowsIt() {
+    CrashFleet fleet = new CrashFleet(20, new Random(6));
+    for (int i = 0; i < 3; i++) {
+      crash(fleet, i, DEADLY);
+      fleet.run(1_000);
+    }
+    fleet.loseAll();
+    fleet.run(KNOWN_WITHIN_MS);
+    assertThat(fleet.refusing(DEADLY)).isEqualTo(20);
+  }
+
   /** Many callers ask for it, so it is there whenever a target ends; it is answered in between. */
   @Test
   void whatIsAnsweredMeanwhileIsServedEverywhere() {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashFleet.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashFleet.java
@@ -29,6 +29,7 @@
   private final List<Member> members = new ArrayList<>();
   private final PriorityQueue<Delivery> underWay = new PriorityQueue<>();
   private List<Integer> deputies = List.of();
+  private Optional<CrashNews> stored = Optional.empty();
   private int holder;
   private long holderSinceMs;
   private long nowMs = 1;
@@ -98,6 +99,15 @@
     members.set(gateway, new Member(gateway));
   }
 
+  /** All gateways end at one moment and start again; the first to hold the term reads the store. */
+  void loseAll() {
+    underWay.clear();
+    members.replaceAll(member -> new Member(member.index));
+    holder = random.nextInt(members.size());
+    holderSinceMs = nowMs;
+    stored.ifPresent(members.get(holder).desk::onStored);
+  }
+
   void run(long forMs) {
     long untilMs = nowMs + forMs;
     while (nowMs < untilMs) {
@@ -220,6 +230,11 @@
           .forEach(member -> send(this, member.index, message));
     }
 
+    @Override
+    public void keep(CrashNews quarantined) {
+      stored = Optional.of(quarantined);
+    }
+
     @Override
     public void tell(String address, FleetMessage message) {
       send(this, Integer.parseInt(address), message);
