Count the time for which a host was suspended; confirm the term before going on

Cause: all time was that of the steady clock, which stands still while a host is suspended. A holder went on with leases, ages and a grace that had run out.

On waking the holder asks the store, and sends no order before it has confirmed the term since; if it slept for the whole grace it stops at once. Others say hello at once. Logged and counted.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -11,8 +11,8 @@
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
-import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SharedKey;
+import io.cuminvalve.kernel.SuspensionClock;
 import io.cuminvalve.ports.store.StoreCallGuard;
 import java.util.SplittableRandom;
 import java.util.function.Function;
@@ -45,7 +45,7 @@
   private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
-  private final MillisClock clock = MillisClock.system();
+  private final SuspensionClock clock = SuspensionClock.system(this::onSuspended);
   private final DecisionLog log = new DecisionLog(clock, LOG_LINES_PER_SECOND, Logger::info);
   private final RequestMetrics metrics = new RequestMetrics();
   private final StoreCallMetrics storeCalls = new StoreCallMetrics();
@@ -110,12 +110,25 @@
         "cuminvalve_holds_term",
         "1 if this process holds the term, else 0.",
         () -> fleet.holdsTerm() ? 1 : 0);
+    page.addGauge(
+        "cuminvalve_suspended_seconds",
+        "For how long the host was suspended since the process started, as far as is known.",
+        () -> clock.suspendedMs() / MS_PER_SECOND);
     page.addGauge(
         "cuminvalve_log_suppressed_lines",
         "Lines of the log that were not written.",
         log::suppressedLines);
   }
 
+  /** Time went on without this process: nothing that it believes counts before it has looked. */
+  private void onSuspended(long forMs) {
+    control.execute(
+        () -> {
+          log.write("host_suspended", "for_ms={}", forMs);
+          fleet.onWoken();
+        });
+  }
+
   /** Starts. */
   public void start() {
     addGauges();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -175,6 +175,15 @@
     link.start();
   }
 
+  /**
+   * This host was suspended: what is believed is looked at again before it is acted on. For the
+   * control thread.
+   */
+  public void onWoken() {
+    termLease.onWoken();
+    link.onWoken();
+  }
+
   /** Gives the term up, so that another gateway takes it at once; goes on routing. */
   public void resign() {
     control.execute(termLease::close);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -240,6 +240,12 @@
     }
   }
 
+  /** This host was suspended: the holder and its deputies are asked at once. */
+  void onWoken() {
+    onPace();
+    askDeputies();
+  }
+
   /** While nothing is known, some gateways of the fleet are asked; the store may be silent. */
   private void askSeeds() {
     boolean lost = state.current().configuration().isEmpty() || holderAddress.isEmpty();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -337,7 +337,7 @@
 
   private void act() {
     actPending = false;
-    if (!ready || !follower.isListed()) {
+    if (!ready || !follower.isListed() || !termLease.isConfirmedSinceWaking()) {
       return;
     }
     if (tokenCount > MOST_TOKENS) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -94,6 +94,7 @@
   private boolean holding;
   private Optional<StoreLeaseId> lease = Optional.empty();
   private long confirmedMs;
+  private long wokenMs = Long.MIN_VALUE;
 
   /**
    * Creates a lease that does nothing yet.
@@ -242,6 +243,23 @@
     return confirmedMs;
   }
 
+  /** This host was suspended: others may hold the term by now. Asks the store at once. */
+  public void onWoken() {
+    wokenMs = clock.nowMs();
+    if (holding) {
+      keepOrLose();
+    }
+  }
+
+  /**
+   * Tells whether the store has confirmed the term since this host was suspended last.
+   *
+   * @return false for a process that does not hold it
+   */
+  public boolean isConfirmedSinceWaking() {
+    return holding && confirmedMs >= wokenMs;
+  }
+
   private void onWatched(WatchResult result) {
     switch (result.event()) {
       case CHANGED -> {
@@ -360,12 +378,16 @@
     if (!holding) {
       return;
     }
+    keepOrLose();
+    control.schedule(this::keepRepeatedly, KEEP_MS);
+  }
+
+  private void keepOrLose() {
     if (clock.nowMs() - confirmedMs > graceMs) {
       lose("not_confirmed");
-      return;
+    } else {
+      keep();
     }
-    keep();
-    control.schedule(this::keepRepeatedly, KEEP_MS);
   }
 
   private void keep() {
