Bear a store that comes back from an older copy

Cause: revisions were compared as they are, and the store gives them out again after it came back. Gateways took new configurations for old ones and kept what they had; terms, and so tokens, started below those that targets knew; a holder that read the older record of owners could grant keys that others still held.

The holder writes the owners once more, with the epoch, gives its term up and takes it again under a higher number, before others apply; it goes on for up to 1 s without its lease meanwhile. Who reads owners of an earlier epoch keeps all keys closed until no earlier lease can run.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetRegister.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetRegister.java
@@ -27,7 +27,7 @@
 
   /**
    * Takes one registration. A later run replaces an earlier one of the same target; a late word of
-   * an earlier run changes nothing.
+   * an earlier run changes nothing, nor does one from before the target began to leave.
    *
    * @param target the registration; not null
    * @return true if routing has to change
@@ -37,7 +37,11 @@
       return false;
     }
     targets.keySet().removeIf(target.id()::isLaterRunOf);
-    FleetTarget before = targets.put(target.id(), target);
+    FleetTarget before = targets.get(target.id());
+    if (before != null && isLeaving(before) && !isLeaving(target)) {
+      return false;
+    }
+    targets.put(target.id(), target);
     boolean changed = !target.routesLike(before);
     if (changed) {
       version++;
@@ -45,6 +49,10 @@
     return changed;
   }
 
+  private static boolean isLeaving(FleetTarget target) {
+    return target.phase() == TargetPhase.DRAINING;
+  }
+
   private boolean hasAny(Predicate<TargetId> condition) {
     return targets.keySet().stream().anyMatch(condition);
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -26,6 +26,9 @@
  */
 public final class LeaseDesk {
 
+  /** Stands for any target at all; no order can reach it. */
+  private static final TargetId UNKNOWN_OWNER = new TargetId("unknown-owner");
+
   private final ServiceId service;
   private final LeaseTimings timings;
   private final LongSupplier tokens;
@@ -78,6 +81,17 @@
     routesChanged = true;
   }
 
+  /**
+   * Keeps all keys closed, since nobody knows any more who may hold them.
+   *
+   * @param untilMs until when leases of earlier holders may be in force; a time of the clock;
+   *     milliseconds
+   */
+  public void assumeUnknownOwners(long untilMs) {
+    ranges.forEach(held -> held.assumePreviousOwner(UNKNOWN_OWNER, untilMs));
+    routesChanged = true;
+  }
+
   /**
    * Learns from the holder before which leases may still be in force; it grants no more.
    *
@@ -280,7 +294,8 @@
   private void addReleases(
       HeldRange held, long nowMs, Predicate<TargetId> mayAsk, List<LeaseOrder> orders) {
     for (Map.Entry<TargetId, PreviousOwner> entry : held.previousOwners().entrySet()) {
-      if (entry.getValue().isReleaseDue(nowMs) && mayAsk.test(entry.getKey())) {
+      boolean known = !entry.getKey().equals(UNKNOWN_OWNER);
+      if (known && entry.getValue().isReleaseDue(nowMs) && mayAsk.test(entry.getKey())) {
         entry.getValue().onReleaseSent();
         orders.add(
             new LeaseOrder.Release(service, entry.getKey(), held.range(), held.token(), outage));
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/OwnershipRecord.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/OwnershipRecord.java
@@ -19,10 +19,12 @@
  * @param term the term of the holder that wrote it
  * @param tables one for each service with keys; not null
  * @param addresses of all targets that the tables name, as far as they are known; not null
+ * @param storeEpoch the epoch of the store in which it was written: in a later one, moves that were
+ *     written after it may be lost; 0 if the store tells of none
  * @since 0.2
  */
 public record OwnershipRecord(
-    long term, List<OwnershipTable> tables, List<TargetAddress> addresses) {
+    long term, List<OwnershipTable> tables, List<TargetAddress> addresses, long storeEpoch) {
 
   /** Copies the lists. */
   public OwnershipRecord {
@@ -36,10 +38,14 @@
    * @param term the term of the holder that writes it
    * @param tables one for each service with keys; not null
    * @param addressOf finds the address of a target; not null
+   * @param storeEpoch the epoch of the store in which it is written; 0 if it tells of none
    * @return never null
    */
   public static OwnershipRecord of(
-      long term, List<OwnershipTable> tables, Function<TargetId, Optional<String>> addressOf) {
+      long term,
+      List<OwnershipTable> tables,
+      Function<TargetId, Optional<String>> addressOf,
+      long storeEpoch) {
     Set<TargetId> named = new LinkedHashSet<>();
     for (OwnershipTable table : tables) {
       for (RangeAssignment assignment : table.assignments()) {
@@ -53,6 +59,6 @@
           .apply(target)
           .ifPresent(address -> addresses.add(new TargetAddress(target, address)));
     }
-    return new OwnershipRecord(term, tables, addresses);
+    return new OwnershipRecord(term, tables, addresses, storeEpoch);
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/fleet/TargetRegisterTest.java
@@ -49,6 +49,16 @@
     assertThat(register.all()).hasSize(1);
   }
 
+  /** An older copy of the registry shows it as it was before it began to leave. */
+  @Test
+  void targetsThatLeaveDoNotComeBackAsTheSameRun() {
+    register.put(target("a@10", TargetPhase.DRAINING, 0));
+    assertThat(register.put(target("a@10", TargetPhase.READY, 0))).isFalse();
+    assertThat(register.find(new TargetId("a@10")).orElseThrow().isReady()).isFalse();
+    assertThat(register.put(target("a@20", TargetPhase.READY, 0))).isTrue();
+    assertThat(register.find(new TargetId("a@20")).orElseThrow().isReady()).isTrue();
+  }
+
   private static FleetTarget target(String id, TargetPhase phase, long coldMs) {
     return new FleetTarget(
         new TargetId(id),
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -86,6 +86,19 @@
     assertThat(desk.routes().get(0).open()).isTrue();
   }
 
+  /** The record that was read is older than moves that were made: any target may hold any key. */
+  @Test
+  void whileOwnersAreUnknownNothingIsGrantedOrAsked() {
+    LeaseDesk next = new LeaseDesk(SERVICE, TIMINGS, () -> ++tokens);
+    next.takeOver(desk.table(0), 0, 10_000);
+    next.assumeUnknownOwners(10_000);
+    next.onWritten(next.version());
+    assertThat(next.routes().stream().anyMatch(RangeRoute::open)).isFalse();
+    assertThat(next.due(9_999, target -> true)).isEmpty();
+    assertThat(next.due(10_000, target -> true)).hasSize(2);
+    assertThat(next.routes().stream().allMatch(RangeRoute::open)).isTrue();
+  }
+
   @Test
   void withoutAnAnswerTheLeaseHasToRunOut() {
     LeaseOrder.Release release = moveFirstKeysToB();
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
@@ -199,7 +199,8 @@
                 .filter(LeaseDesk::isPartitioned)
                 .map(desk -> desk.table(time.nowMs()))
                 .toList(),
-            this::addressOf);
+            this::addressOf,
+            0);
     long expected = revision;
     time.later(
         time.between(0, 30),
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseStore.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseStore.java
@@ -5,7 +5,7 @@
 /** The store of the assignments: each write replaces one revision. */
 final class LeaseStore {
 
-  private OwnershipRecord stored = new OwnershipRecord(0, List.of(), List.of());
+  private OwnershipRecord stored = new OwnershipRecord(0, List.of(), List.of(), 0);
   private long revision;
 
   OwnershipRecord stored() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -148,10 +148,9 @@
    * @param value what that gateway knows; not null
    */
   public void onNews(StoreValue value) {
-    if (value.revision() > follower.revision()) {
-      follower.onTaken(value.revision());
-      install(value);
-    }
+    // A store that came back older shows an older version under a later revision.
+    follower.onTaken(value.revision());
+    install(value);
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -170,11 +170,19 @@
   }
 
   private void begin() {
+    ports.store().onEpoch(() -> control.execute(this::onStoreCameBack));
     termLease.start();
     configuration.start();
     link.start();
   }
 
+  /** The store has lost what it acknowledged last: the holder writes what it knows again. */
+  private void onStoreCameBack() {
+    log.write("store_came_back_older", "epoch={}", ports.store().epoch());
+    termLease.onStoreCameBack();
+    duties.ifPresent(holder -> holder.rewrite(termLease::takeAgain));
+  }
+
   /**
    * This host was suspended: what is believed is looked at again before it is acted on. For the
    * control thread.
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -93,6 +93,8 @@
   private long listings;
   private Map<ServiceId, OwnershipTable> stored = Map.of();
   private long storedTerm;
+  private boolean storedMayBeOld;
+  private Optional<Runnable> onRewritten = Optional.empty();
   private Optional<LeasesLeft> foreignLeases = Optional.empty();
   private long foreignToldMs;
   private boolean ready;
@@ -220,7 +222,7 @@
 
   private void limitForeignLeases(LeaseDesk desk) {
     foreignLeases
-        .filter(left -> left.term() == storedTerm)
+        .filter(left -> left.term() == storedTerm && !storedMayBeOld)
         .ifPresent(
             left -> {
               desk.limitForeignLeases(left.leases(), foreignToldMs);
@@ -251,14 +253,16 @@
     found.ifPresent(record -> record.addresses().forEach(this::noteStoredAddress));
     stored = tables;
     storedTerm = found.map(OwnershipRecord::term).orElse(0L);
+    storedMayBeOld = found.filter(ownership::isFromEpochBefore).isPresent();
     duties.clear();
     ready = true;
     log.write(
         "owners_read",
-        "term={} written_in_term={} services={}",
+        "term={} written_in_term={} services={} may_be_old={}",
         term,
-        found.map(OwnershipRecord::term).orElse(0L),
-        tables.size());
+        storedTerm,
+        tables.size(),
+        storedMayBeOld);
     act();
   }
 
@@ -394,7 +398,12 @@
     OwnershipTable table = stored.get(id);
     if (table != null && !table.assignments().isEmpty()) {
       desk.takeOver(table, clock.nowMs(), startedMs + timings.foreignLeaseMs());
-      limitForeignLeases(desk);
+      if (storedMayBeOld) {
+        // Moves that were written later are lost: the owners named here prove nothing.
+        desk.assumeUnknownOwners(startedMs + timings.foreignLeaseMs());
+      } else {
+        limitForeignLeases(desk);
+      }
       follower.register().of(id).forEach(target -> desk.onRestarted(target.id()));
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
@@ -428,10 +437,11 @@
     boolean cleanup =
         duties.values().stream().anyMatch(service -> service.desk().isCleanupPending());
     cleanupSinceMs = cleanup ? Math.min(cleanupSinceMs, nowMs) : Long.MAX_VALUE;
-    boolean due = urgent || nowMs - cleanupSinceMs > CLEANUP_MS;
+    boolean due = urgent || nowMs - cleanupSinceMs > CLEANUP_MS || onRewritten.isPresent();
     if (!due || ownership.isWriting()) {
       return;
     }
+    final Optional<Runnable> afterwards = onRewritten;
     Map<ServiceId, OwnershipTable> tables = new LinkedHashMap<>(stored);
     Map<ServiceId, Long> versions = new HashMap<>();
     duties.forEach(
@@ -444,13 +454,33 @@
     ownership.write(
         List.copyOf(tables.values()),
         this::lastAddressOf,
-        () -> onWritten(versions),
+        () -> onWritten(versions, afterwards),
         this::onOvertaken);
   }
 
-  private void onWritten(Map<ServiceId, Long> versions) {
+  private void onWritten(Map<ServiceId, Long> versions, Optional<Runnable> afterwards) {
     versions.forEach((id, version) -> duties.get(id).desk().onWritten(version));
-    act();
+    if (afterwards.isPresent()) {
+      onRewritten = Optional.empty();
+      afterwards.get().run();
+    } else {
+      act();
+    }
+  }
+
+  /**
+   * The store came back from an older copy: writes who owns what once more, before anybody else
+   * reads it. What was being written may be lost with the rest.
+   *
+   * @param onDone called once it is durable, or at once if this process does not know either
+   */
+  void rewrite(Runnable onDone) {
+    if (!ready || storedMayBeOld || duties.isEmpty()) {
+      onDone.run();
+    } else {
+      onRewritten = Optional.of(onDone);
+      act();
+    }
   }
 
   /** Somebody else wrote: a later holder, or an earlier one after this one had read. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnershipStore.java
@@ -56,6 +56,11 @@
     closed = true;
   }
 
+  /** Tells whether the store has come back from an older copy since a record was written. */
+  boolean isFromEpochBefore(OwnershipRecord record) {
+    return record.storeEpoch() < store.epoch();
+  }
+
   boolean isWriting() {
     return writing;
   }
@@ -101,7 +106,7 @@
       Runnable onDone,
       Consumer<Optional<OwnershipRecord>> onOvertaken) {
     writing = true;
-    byte[] bytes = codec.encode(OwnershipRecord.of(term, tables, addressOf));
+    byte[] bytes = codec.encode(OwnershipRecord.of(term, tables, addressOf, store.epoch()));
     store
         .write(KEY, bytes, revision, Optional.empty())
         .thenAcceptAsync(result -> onWritten(result, onDone, onOvertaken), control);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -63,6 +63,7 @@
   private boolean closed;
   private boolean listed;
   private long revision;
+  private long epoch;
   private long answeredMs;
   private long keepUntilMs;
   private boolean outageSeen;
@@ -126,6 +127,7 @@
     onAnswer();
     logUnreadable(listing.unreadable());
     revision = listing.revision();
+    noteEpoch(listing.epoch());
     listed = true;
     Set<TargetId> present = new HashSet<>();
     for (FleetTarget target : listing.targets()) {
@@ -145,6 +147,15 @@
     control.schedule(this::watch, PACE_MS);
   }
 
+  /** Targets that an older copy lacks write their entries again, like after an outage. */
+  private void noteEpoch(long now) {
+    if (listed && now != epoch) {
+      keepUntilMs = clock.nowMs() + COMEBACK_MS;
+      log.write("registry_came_back_older", "epoch={}", now);
+    }
+    epoch = now;
+  }
+
   private void watch() {
     if (closed) {
       return;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -76,6 +76,12 @@
 
   private static final long MIN_DELAY_MS = 60;
 
+  /** So long after a store came back from an older copy its former holder goes first. */
+  private static final long CAME_BACK_LATELY_MS = 3_000;
+
+  /** It writes what it knows, gives the term up and takes it again: five calls. */
+  private static final long FORMER_HOLDER_FIRST_MS = 1_000;
+
   private final KeyValueStore store;
   private final ControlThread control;
   private final MillisClock clock;
@@ -95,6 +101,9 @@
   private Optional<StoreLeaseId> lease = Optional.empty();
   private long confirmedMs;
   private long wokenMs = Long.MIN_VALUE;
+  private Optional<Long> cameBackMs = Optional.empty();
+  private boolean formerHolder;
+  private boolean rewriting;
 
   /**
    * Creates a lease that does nothing yet.
@@ -282,17 +291,48 @@
     }
   }
 
+  /**
+   * Gives the term up to take it again at once: the store has come back from an older copy, and
+   * what others know of the term is above what the store has of it.
+   */
+  public void takeAgain() {
+    if (!holding) {
+      return;
+    }
+    formerHolder = true;
+    StoreLeaseId ended = lease.orElseThrow();
+    store.endLease(ended).thenAcceptAsync(outcome -> onEnded(ended), control);
+  }
+
+  private void onEnded(StoreLeaseId ended) {
+    if (holding && lease.equals(Optional.of(ended))) {
+      lose("store_came_back_older");
+    }
+  }
+
+  /** The store has come back from an older copy: whoever held the term knows who owns what. */
+  public void onStoreCameBack() {
+    cameBackMs = Optional.of(clock.nowMs());
+    rewriting = holding;
+  }
+
+  private boolean cameBackWithin(long pastMs) {
+    return cameBackMs.filter(atMs -> clock.nowMs() - atMs < pastMs).isPresent();
+  }
+
   private void becomeCandidate() {
     if (candidate) {
       return;
     }
     candidate = true;
-    control.schedule(this::apply, firstCandidate ? 0 : candidateDelayMs());
+    control.schedule(this::apply, formerHolder ? 0 : candidateDelayMs());
   }
 
   private long candidateDelayMs() {
     double weakness = Math.max(1, FULL_STRENGTH_CORES / processorCores);
-    return (long) (random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS) * weakness);
+    long spreadMs = (long) (random.nextLong(MIN_DELAY_MS, MAX_DELAY_MS) * weakness);
+    long delayMs = firstCandidate ? 0 : spreadMs;
+    return cameBackWithin(CAME_BACK_LATELY_MS) ? delayMs + FORMER_HOLDER_FIRST_MS : delayMs;
   }
 
   private void apply() {
@@ -365,6 +405,7 @@
       return;
     }
     holding = true;
+    formerHolder = false;
     follower.onTaken(term);
     follower.close();
     lease = Optional.of(created);
@@ -405,13 +446,22 @@
       if (closed) {
         lose("stopping");
       }
-    } else if (outcome == StoreOutcome.CONFLICT) {
+    } else if (outcome == StoreOutcome.CONFLICT && !isRewriting()) {
       lose("lapsed");
     }
   }
 
+  /**
+   * The older copy may lack the lease. Nobody else takes the term so soon, and whoever does must
+   * find what this process knows.
+   */
+  private boolean isRewriting() {
+    return rewriting && cameBackWithin(FORMER_HOLDER_FIRST_MS);
+  }
+
   private void lose(String why) {
     holding = false;
+    rewriting = false;
     lease.ifPresent(store::endLease);
     lease = Optional.empty();
     log.write("term_lost", "why={}", why);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
@@ -9,6 +9,7 @@
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.testkit.time.VirtualClock;
 import io.cuminvalve.testkit.time.VirtualExecutor;
 import java.util.List;
@@ -65,6 +66,18 @@
     assertThat(versionInForce()).isEqualTo(2);
   }
 
+  /** The store has come back from an older copy; others know what is in force. */
+  @Test
+  void olderVersionsUnderLaterRevisionsDoNotCount() {
+    store.put(version(3));
+    clock.advance(0);
+    store.put(version(2));
+    clock.advance(0);
+    assertThat(versionInForce()).isEqualTo(3);
+    watch.onNews(new StoreValue(version(5), 1));
+    assertThat(versionInForce()).isEqualTo(5);
+  }
+
   @Test
   void waitsThatFellSilentDelayChangesByLessThanTheirBound() {
     store.silenceWaitingCalls();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -75,7 +75,7 @@
   }
 
   private void write(OwnershipTable table) {
-    byte[] bytes = codec.encode(new OwnershipRecord(7, List.of(table), List.of()));
+    byte[] bytes = codec.encode(new OwnershipRecord(7, List.of(table), List.of(), 0));
     memory.write(OwnershipStore.KEY, bytes, KeyValueStore.ABSENT, Optional.empty());
   }
 
@@ -112,7 +112,7 @@
 
     @Override
     public CompletableFuture<RegistryListing> list() {
-      RegistryListing listing = new RegistryListing(true, List.of(TARGET), List.of(), 1);
+      RegistryListing listing = new RegistryListing(true, List.of(TARGET), List.of(), 1, 0);
       return CompletableFuture.completedFuture(answers ? listing : RegistryListing.unavailable());
     }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryFollowerTest.java
@@ -85,6 +85,24 @@
     assertThat(follower.register().all()).isEmpty();
   }
 
+  @Test
+  void entriesThatAnOlderCopyLacksMayComeBack() throws InterruptedException {
+    registry.listed = List.of(A, B);
+    control.execute(follower::start);
+    news.take();
+    registry.waits.take();
+    registry.listed = List.of(A);
+    registry.epoch = 1;
+    registry.answer(RegistryChanges.none(RegistryChanges.Status.HISTORY_LOST));
+    registry.waits.take();
+    assertThat(follower.register().all()).containsExactly(A, B);
+    nowMs.addAndGet(5_000);
+    registry.answer(
+        new RegistryChanges(RegistryChanges.Status.ANSWERED, List.of(), List.of(), List.of(), 10));
+    news.take();
+    assertThat(follower.register().all()).containsExactly(A);
+  }
+
   @Test
   void theRemovedEntryIsThatOfWhicheverRunIsKnown() throws InterruptedException {
     registry.listed = List.of(target("a@10"));
@@ -114,11 +132,13 @@
 
     private final LinkedBlockingQueue<Long> waits = new LinkedBlockingQueue<>();
     private volatile List<FleetTarget> listed = List.of();
+    private volatile long epoch;
     private volatile CompletableFuture<RegistryChanges> pending;
 
     @Override
     public CompletableFuture<RegistryListing> list() {
-      return CompletableFuture.completedFuture(new RegistryListing(true, listed, List.of(), 1));
+      return CompletableFuture.completedFuture(
+          new RegistryListing(true, listed, List.of(), 1, epoch));
     }
 
     @Override
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StoreCallsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StoreCallsTest.java
@@ -149,7 +149,7 @@
           .thenApply(
               answered ->
                   answered
-                      ? new RegistryListing(true, List.of(), List.of(), 1)
+                      ? new RegistryListing(true, List.of(), List.of(), 1, 0)
                       : RegistryListing.unavailable());
     }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermLeaseTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermLeaseTest.java
@@ -35,7 +35,7 @@
           new DecisionLog(this::nowMs, 100, line -> {}),
           new RecordCodec(),
           new TermNote("one", 1, "10.0.0.1:1"),
-          true,
+          false,
           1,
           GRACE_MS,
           Reliance.partial(() -> 1_000),
@@ -84,6 +84,42 @@
     assertThat(events).containsExactly("gained", "lost").inOrder();
   }
 
+  @Test
+  void theHolderTakesItsTermAgainAtOnce() {
+    store.vacateOnEnd();
+    control.execute(lease::onStoreCameBack);
+    control.execute(lease::takeAgain);
+    steady.advance(50);
+    assertThat(events).containsExactly("gained", "lost", "gained").inOrder();
+  }
+
+  /** The older copy lacks its lease; what it knows has to be written before anybody else reads. */
+  @Test
+  void theHolderGoesOnForWhileWithoutItsLease() {
+    store.holdAnswers();
+    control.execute(lease::onStoreCameBack);
+    steady.advance(400);
+    store.answer(StoreOutcome.CONFLICT);
+    store.holdAnswers();
+    steady.advance(1);
+    assertThat(events).containsExactly("gained");
+    steady.advance(1_000);
+    store.answer(StoreOutcome.CONFLICT);
+    steady.advance(1);
+    assertThat(events).containsExactly("gained", "lost").inOrder();
+  }
+
+  @Test
+  void othersLetTheFormerHolderGoFirst() {
+    store.vacateOnEnd();
+    control.execute(lease::onStoreCameBack);
+    control.execute(() -> lease.renounce("test"));
+    steady.advance(1_000);
+    assertThat(events).containsExactly("gained", "lost").inOrder();
+    steady.advance(1_000);
+    assertThat(events).containsExactly("gained", "lost", "gained").inOrder();
+  }
+
   private void suspend(long forMs) {
     suspendedMs += forMs;
     control.execute(lease::onWoken);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermStore.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermStore.java
@@ -12,17 +12,23 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-/** A store whose term is vacant once, and silent afterwards; renewals wait while told to. */
+/** A store whose term is vacant once, and silent while it is not; renewals wait while told to. */
 final class TermStore implements KeyValueStore {
 
   private final List<CompletableFuture<StoreOutcome>> held = new ArrayList<>();
   private boolean holding;
   private boolean gained;
+  private boolean vacates;
 
   void holdAnswers() {
     holding = true;
   }
 
+  /** From now on the term is vacant once its lease has ended. */
+  void vacateOnEnd() {
+    vacates = true;
+  }
+
   /** Answers every renewal that waits. */
   void answer(StoreOutcome outcome) {
     holding = false;
@@ -76,6 +82,7 @@
 
   @Override
   public CompletableFuture<StoreOutcome> endLease(StoreLeaseId lease) {
+    gained &= !vacates;
     return CompletableFuture.completedFuture(StoreOutcome.DONE);
   }
 }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -273,7 +273,7 @@
           @Override
           public CompletableFuture<RegistryListing> list() {
             return CompletableFuture.completedFuture(
-                new RegistryListing(true, List.of(target), List.of(), 1));
+                new RegistryListing(true, List.of(target), List.of(), 1, 0));
           }
 
           @Override
@@ -313,7 +313,7 @@
           @Override
           public CompletableFuture<RegistryListing> list() {
             return CompletableFuture.completedFuture(
-                new RegistryListing(true, List.of(), List.of(), 1));
+                new RegistryListing(true, List.of(), List.of(), 1, 0));
           }
 
           @Override
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
@@ -16,6 +16,24 @@
   /** The revision to expect of a key that must not exist. */
   long ABSENT = 0;
 
+  /**
+   * Returns the newest epoch that the store has shown. It rises when the store comes back from an
+   * older copy of itself and has lost what it acknowledged since; revisions of a later epoch are
+   * above all of those before.
+   *
+   * @return 0 if the store tells of none
+   */
+  default long epoch() {
+    return 0;
+  }
+
+  /**
+   * Sets who is told, once each time, that the store shows a later epoch than before.
+   *
+   * @param listener called on a thread of the implementation; must not block; not null
+   */
+  default void onEpoch(Runnable listener) {}
+
   /**
    * Reads a key, linearizably.
    *
