--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
@@ -41,6 +41,7 @@
   private long epoch;
   private Optional<Runnable> onRewritten = Optional.empty();
   private long idleUntilMs;
+  private boolean hasWritten;
   private boolean writing;
   private boolean stopped;
   private boolean storeReachable = true;
@@ -245,6 +246,7 @@
             readBack();
             return;
           }
+          hasWritten = true;
           revision = store.revision();
           time.later(time.between(0, 30), () -> onWritten(versions, afterwards));
         });
@@ -265,7 +267,12 @@
   /** Somebody else has written, or the store came back older and lacks what this holder wrote. */
   private void readBack() {
     boolean cameBack = epoch != store.epoch();
-    if (!cameBack || isReplaced() || store.stored().term() > term || storedMayBeOld) {
+    // Before its first write, others may have written what it has not read.
+    if (!cameBack
+        || !hasWritten
+        || isReplaced()
+        || store.stored().term() > term
+        || storedMayBeOld) {
       stopped = true;
       return;
     }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
@@ -98,6 +98,16 @@
     }
   }
 
+  /**
+   * Seen while these schedules were written: a holder went on that had read and not yet written.
+   */
+  @Example
+  void holdersThatHaveNotWrittenReadAgain() {
+    LeaseWorld world = new LeaseWorld(-3659396086863550127L, true, true).withOlderStores(true);
+    world.run(DURATION_MS);
+    assertThat(world.promises().violations()).isEmpty();
+  }
+
   /** The same check bites: whoever takes the older record for the newest breaks the promise. */
   @Example
   void recordsOfAnEarlierEpochProveNothing() {
