--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/RequestHeaders.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/RequestHeaders.java
@@ -10,6 +10,8 @@
  * @param notExecuted present in the answer of a target that did not run the request; not null
  * @param answeringTarget names the target that refused a request which was meant for another; not
  *     null
+ * @param targetLimit names, in the answer of a target, the requests a second that it takes from all
+ *     gateways together; not null
  * @param signature proves that an answer comes from a target; not null
  * @since 0.2
  */
@@ -20,4 +22,5 @@
     String key,
     String notExecuted,
     String answeringTarget,
+    String targetLimit,
     String signature) {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -94,6 +94,7 @@
         new ExchangeServices(
             state,
             dispatcher,
+            new TargetQuotas(clock, log),
             client,
             new RepeatBudgets(settings, clock),
             quarantine,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -123,6 +123,7 @@
       return false;
     }
     headers.put(services.headers().deadlineMs(), remainingMs);
+    services.quotas().onSent(slot.target().id());
     return handover.begin();
   }
 
@@ -138,6 +139,9 @@
       fail(true, "foreign_answer");
       return;
     }
+    if (!isFromOtherTarget(headers)) {
+      services.quotas().onAnswer(slot.target().id(), headers.get(names.targetLimit()), sentMs);
+    }
     Content.Source.asByteArrayAsync(answer.body(), MAX_ANSWER_BYTES)
         .whenComplete((body, cut) -> onWhole(answer, notExecuted, body, cut));
   }
@@ -171,13 +175,17 @@
 
   /** Its address may belong to another target by now: then nothing more may go there. */
   private void noteOtherTarget(HttpFields headers) {
-    String answering = headers.get(services.headers().answeringTarget());
-    if (answering != null && !answering.equals(slot.target().id().name())) {
+    if (isFromOtherTarget(headers)) {
       services.dispatcher().onReplaced(slot.target().id());
       services.witness().onEnded(slot.target().id());
     }
   }
 
+  private boolean isFromOtherTarget(HttpFields headers) {
+    String answering = headers.get(services.headers().answeringTarget());
+    return answering != null && !answering.equals(slot.target().id().name());
+  }
+
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     if (handedOver) {
