Keep to the limit that a target names, over all gateways together

Cause: callers saw targets in need get all that came for them. A target names how many requests a second it takes from all gateways together; no gateway read that, and each sent what its own callers asked for. A limit is a quantity of the fleet: gateways are fed unevenly, so even parts would waste or break it.

Change: whoever sees a limit begin, change or end tells the holder and its deputies at once, the holder everybody, and hellos carry a digest, so that losing any of them loses nothing. The holder gives out leave for single requests from one token bucket for each target, to whichever gateway asks; its last tokens are kept for the most urgent priority that asks. Leave that is not used runs out after 0.5 s. A gateway whose questions are not answered goes on with a small random part, half of the limit for all together; a holder gives out its part of the fleet's share, so that two holders give out no more than one. Requests without a key go elsewhere; others are refused at once and told when there is leave again, each caller later than the one before. An answer without a limit ends it; each run of a target has its own. Memory: 1,024 targets.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
@@ -40,6 +40,8 @@
   /** Says in the log why a request was not sent on. */
   private static final String QUARANTINED = "quarantined";
 
+  private static final String LIMITED = "target_limited";
+
   private final ExchangeProfile profile;
   private final BooleanSupplier budget;
   private boolean done;
@@ -101,14 +103,17 @@
    * @return what to do; never null
    */
   public List<ExchangeEffect> onQuarantined(long retryAfterMs) {
-    if (done) {
-      return List.of();
-    }
-    done = true;
-    return List.of(
-        mayHaveRun
-            ? new ExchangeEffect.GiveUp(false, QUARANTINED)
-            : new ExchangeEffect.Refuse(retryAfterMs, QUARANTINED));
+    return done ? List.of() : end(QUARANTINED, retryAfterMs);
+  }
+
+  /**
+   * Targets that may run it have named limits, and take no more for now.
+   *
+   * @param retryAfterMs when they do; milliseconds
+   * @return what to do; never null
+   */
+  public List<ExchangeEffect> onLimited(long retryAfterMs) {
+    return done ? List.of() : end(LIMITED, retryAfterMs);
   }
 
   /**
@@ -271,13 +276,16 @@
     return profile.deadlineMs() - nowMs > SAME_OWNER_PAUSE_MS;
   }
 
-  /** Ends a request that no target is working on. */
   private List<ExchangeEffect> end(String reason) {
+    return end(reason, reason.endsWith("_busy") ? BUSY_RETRY_AFTER_MS : RETRY_AFTER_MS);
+  }
+
+  /** Ends a request that no target is working on. */
+  private List<ExchangeEffect> end(String reason, long retryAfterMs) {
     done = true;
-    if (mayHaveRun) {
-      return List.of(new ExchangeEffect.GiveUp(false, reason));
-    }
-    long retryAfterMs = reason.endsWith("_busy") ? BUSY_RETRY_AFTER_MS : RETRY_AFTER_MS;
-    return List.of(new ExchangeEffect.Refuse(retryAfterMs, reason));
+    return List.of(
+        mayHaveRun
+            ? new ExchangeEffect.GiveUp(false, reason)
+            : new ExchangeEffect.Refuse(retryAfterMs, reason));
   }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -13,6 +13,7 @@
  * @param dataCentre where the sender runs; not null
  * @param processorCores how many cores it may use
  * @param crashDigest tells whether both watch the same requests for crashes; 0 if it watches none
+ * @param limitDigest tells whether both know the same limits of targets; 0 if it knows none
  * @since 0.2
  */
 public record FleetHello(
@@ -24,5 +25,6 @@
     long configurationRevision,
     String dataCentre,
     double processorCores,
-    long crashDigest)
+    long crashDigest,
+    long limitDigest)
     implements FleetMessage {}
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/quota/LimitLedger.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/quota/LimitLedger.java
@@ -30,7 +30,7 @@
    */
   static final long UNREGISTERED_MS = 60_000;
 
-  /** Smaller changes of a limit are no news. */
+  /** Smaller changes of a limit are ignored, so that processes know the same number. */
   private static final double NOTABLE_CHANGE = 0.01;
 
   private final Map<TargetId, Known> byTarget = new HashMap<>();
@@ -44,7 +44,10 @@
    * @return whether that is news
    */
   public boolean onNamed(TargetId target, double perS, long nowMs) {
-    return take(target, new Known(perS, nowMs));
+    Known known = byTarget.get(target);
+    Known named = new Known(perS, nowMs);
+    boolean same = known != null && !known.differsFrom(named);
+    return take(target, same ? new Known(known.perS, nowMs) : named);
   }
 
   /**
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/quota/LimitLedgerTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/quota/LimitLedgerTest.java
@@ -33,14 +33,14 @@
 
   /** It may have been answered before the limit began, and have taken long on its way. */
   @Test
-  void anAnswerToARequestOfBeforeEndsNothing() {
+  void anAnswerToAnEarlierRequestEndsNothing() {
     ledger.onNamed(ONE, 2, 100);
     assertThat(ledger.onNotNamed(ONE, 100, 150)).isFalse();
     assertThat(ledger.limitOf(ONE)).isEqualTo(OptionalDouble.of(2));
   }
 
   @Test
-  void aLimitIsThatOfOneRun() {
+  void limitsAreThoseOfOneRun() {
     ledger.onNamed(ONE, 2, 100);
     assertThat(ledger.limitOf(NEXT_RUN)).isEqualTo(OptionalDouble.empty());
     assertThat(ledger.onNotNamed(NEXT_RUN, 200, 250)).isFalse();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -92,6 +92,7 @@
   private final Subscribers subscribers = new Subscribers();
   private final LeaseInheritance inheritance;
   private final CrashLink crashes;
+  private final QuotaLink quotas;
   private final OwnRegistryLook ownLook;
   private final FleetView view = new FleetView();
   private Optional<HolderDuties> duties = Optional.empty();
@@ -129,6 +130,9 @@
     this.crashes =
         new CrashLink(
             network, subscribers, ports.store(), codec, control, clock, log, reports, ledger);
+    this.quotas =
+        new QuotaLink(
+            settings.process(), network, subscribers, state, control, clock, reports.quotas());
     this.ownLook = new OwnRegistryLook(ports, state, control, clock, log);
     this.terms = terms;
     this.deputies = deputies;
@@ -140,6 +144,7 @@
 
   void start() {
     crashes.start();
+    quotas.start();
     if (!settings.firstStart()) {
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
@@ -176,8 +181,10 @@
       inheritance.onGained(now.get(), holderBefore);
       ownLook.close();
       crashes.onGained();
+      quotas.onGained();
     } else {
       crashes.onLost();
+      quotas.onLost();
       subscribers.clear();
     }
   }
@@ -219,6 +226,8 @@
       onTargetsChange(change);
     } else if (message instanceof RoutesChange change) {
       onRoutesChange(change);
+    } else {
+      quotas.onMessage(sender, message);
     }
   }
 
@@ -226,6 +235,7 @@
     if (duties.isPresent()) {
       inheritance.ask();
       crashes.onConfidants(Optional.empty(), subscribers.deputies());
+      quotas.onConfidants(Optional.empty(), subscribers.deputies(), subscribers.count() + 1);
       state.confirmTargets(clock.nowMs() - duties.get().registryAgeMs());
       subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
@@ -298,7 +308,8 @@
         settings.dataCentre(),
         settings.processorCores(),
         configuration.revision(),
-        crashes.digest());
+        crashes.digest(),
+        quotas.digest());
   }
 
   private void lookOneself() {
@@ -314,6 +325,7 @@
     }
     deputies.onNamed(beat.deputies());
     crashes.onConfidants(holderAddress, deputies.others());
+    quotas.onConfidants(holderAddress, deputies.others(), Math.max(1, beat.processes()));
     if (Math.max(beat.termAgeMs(), beat.configurationAgeMs()) <= FRESH_MS) {
       freshBeatMs = clock.nowMs();
     }
@@ -435,6 +447,7 @@
               configuration.ageMs()));
     }
     crashes.onHello(sender, hello);
+    quotas.onHello(sender, hello);
     configuration
         .lackedBy(hello.configurationRevision())
         .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -42,7 +42,8 @@
       String dataCentre,
       double processorCores,
       long configurationRevision,
-      long crashDigest) {
+      long crashDigest,
+      long limitDigest) {
     return new FleetHello(
         process,
         targets.term(),
@@ -52,7 +53,8 @@
         configurationRevision,
         dataCentre,
         processorCores,
-        crashDigest);
+        crashDigest,
+        limitDigest);
   }
 
   /** Notes what this process, as the holder, knows now. Returns what the others have to hear. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -59,6 +60,7 @@
   private final DataCentreId dataCentre;
   private final MillisClock clock;
   private final RandomGenerator random;
+  private final TargetQuotas quotas;
   private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
   private final Map<ServiceId, PriorityQueue<PlacementWish>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeByRouteMs = new HashMap<>();
@@ -68,25 +70,37 @@
   private long nextOrder;
 
   Dispatcher(
-      RoutingState state, DataCentreId dataCentre, MillisClock clock, RandomGenerator random) {
+      RoutingState state,
+      DataCentreId dataCentre,
+      MillisClock clock,
+      RandomGenerator random,
+      TargetQuotas quotas) {
     this.state = state;
     this.dataCentre = dataCentre;
     this.clock = clock;
     this.random = random;
+    this.quotas = quotas;
     state.onChange(this::onRoutingChanged);
+    quotas.onUsable(this::serveWaiting);
   }
 
-  /** Places a request now, or as soon as it can be. */
+  /** Places a request now, or as soon as it can be; refuses one that waits in vain. */
   void submit(PlacementWish wish) {
     Optional<Slot> slot;
+    Optional<QuotaRefusal> refusal = Optional.empty();
     synchronized (this) {
+      RoutingSnapshot snapshot = state.current();
       wish.setOrder(nextOrder++);
-      slot = tryPlace(wish, state.current());
+      slot = tryPlace(wish, snapshot);
       if (slot.isEmpty()) {
+        refusal = refusalOf(wish, snapshot);
+      }
+      if (slot.isEmpty() && refusal.isEmpty()) {
         waiting.computeIfAbsent(wish.service(), id -> newQueue()).add(wish);
       }
     }
     slot.ifPresent(wish::placed);
+    refusal.ifPresent(wish::limited);
   }
 
   /** Tells whether a request has to be refused at once: its owner cannot bear all of its kind. */
@@ -126,6 +140,9 @@
     if (!range.get().open()) {
       return "key_on_the_move";
     }
+    if (quotas.isLimited(range.get().owner())) {
+      return "limit_unanswered";
+    }
     boolean usable = snapshot.target(range.get().owner()).filter(FleetTarget::isReady).isPresent();
     return usable ? "owner_busy" : "owner_leaving";
   }
@@ -199,24 +216,33 @@
   /** Looks at those that wait once more, for example because a pause is over. */
   void serveWaiting(ServiceId service) {
     Map<PlacementWish, Slot> placed = new HashMap<>();
+    Map<PlacementWish, QuotaRefusal> refused = new HashMap<>();
     synchronized (this) {
       PriorityQueue<PlacementWish> queue = waiting.get(service);
       if (queue == null || queue.isEmpty()) {
         return;
       }
-      placeFrom(queue, placed);
+      placeFrom(queue, placed, refused);
     }
     placed.forEach(PlacementWish::placed);
+    refused.forEach(PlacementWish::limited);
   }
 
-  private void placeFrom(PriorityQueue<PlacementWish> queue, Map<PlacementWish, Slot> placed) {
+  private void placeFrom(
+      PriorityQueue<PlacementWish> queue,
+      Map<PlacementWish, Slot> placed,
+      Map<PlacementWish, QuotaRefusal> refused) {
     RoutingSnapshot snapshot = state.current();
     List<PlacementWish> left = new ArrayList<>();
     while (!queue.isEmpty()) {
       PlacementWish wish = queue.poll();
       Optional<Slot> slot = tryPlace(wish, snapshot);
+      Optional<QuotaRefusal> refusal =
+          slot.isPresent() ? Optional.empty() : refusalOf(wish, snapshot);
       if (slot.isPresent()) {
         placed.put(wish, slot.get());
+      } else if (refusal.isPresent()) {
+        refused.put(wish, refusal.get());
       } else {
         left.add(wish);
       }
@@ -239,20 +265,67 @@
     if (!wish.accepts(snapshot.ownersVersion())) {
       return Optional.empty();
     }
+    return usableOwnerOf(wish, snapshot)
+        .filter(target -> hasRoom(target, snapshot))
+        .filter(target -> quotas.take(target, wish.route().priority()));
+  }
+
+  private static Optional<FleetTarget> usableOwnerOf(PlacementWish wish, RoutingSnapshot snapshot) {
     return snapshot
         .owners(wish.service())
         .flatMap(owners -> owners.find(wish.key().getAsInt()))
         .filter(RangeRoute::open)
         .flatMap(range -> snapshot.target(range.owner()))
-        .filter(target -> target.isReady() && hasRoom(target, snapshot));
+        .filter(FleetTarget::isReady);
+  }
+
+  /** Tells whether nothing that may run the request takes it before it would have waited long. */
+  private Optional<QuotaRefusal> refusalOf(PlacementWish wish, RoutingSnapshot snapshot) {
+    List<FleetTarget> targets =
+        wish.key().isPresent()
+            ? usableOwnerOf(wish, snapshot).stream().toList()
+            : untried(wish, snapshot);
+    int priority = wish.route().priority();
+    FleetTarget first = null;
+    long firstMs = Long.MAX_VALUE;
+    for (FleetTarget target : targets) {
+      OptionalLong refusedForMs = quotas.refusedForMs(target.id(), priority);
+      if (refusedForMs.isEmpty()) {
+        return Optional.empty();
+      }
+      if (refusedForMs.getAsLong() < firstMs) {
+        first = target;
+        firstMs = refusedForMs.getAsLong();
+      }
+    }
+    return Optional.ofNullable(first).map(target -> quotas.refuse(target.id(), priority));
+  }
+
+  private static List<FleetTarget> untried(PlacementWish wish, RoutingSnapshot snapshot) {
+    List<FleetTarget> ready = snapshot.ready(wish.service());
+    List<FleetTarget> left = ready.stream().filter(t -> !wish.tried().contains(t.id())).toList();
+    return left.isEmpty() ? ready : left;
   }
 
   private Optional<FleetTarget> bestOf(PlacementWish wish, RoutingSnapshot snapshot) {
+    Set<TargetId> skipped = new HashSet<>(skippedBy(wish, snapshot));
+    int priority = wish.route().priority();
+    Optional<FleetTarget> best = cheapestOf(wish, skipped, snapshot);
+    while (best.isPresent() && !quotas.take(best.get(), priority)) {
+      skipped.add(best.get().id());
+      best = cheapestOf(wish, skipped, snapshot);
+    }
+    return best;
+  }
+
+  private Optional<FleetTarget> cheapestOf(
+      PlacementWish wish, Set<TargetId> skipped, RoutingSnapshot snapshot) {
     FleetTarget best = null;
     double bestCost = Double.MAX_VALUE;
-    Set<TargetId> skipped = skippedBy(wish, snapshot);
+    int priority = wish.route().priority();
     for (FleetTarget target : snapshot.ready(wish.service())) {
-      if (skipped.contains(target.id()) || !hasRoom(target, snapshot)) {
+      boolean usable = !skipped.contains(target.id()) && hasRoom(target, snapshot);
+      if (!usable || quotas.refusedForMs(target.id(), priority).isPresent()) {
         continue;
       }
       double cost = slotsOf(target, snapshot).cost(target.slots());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -19,7 +19,7 @@
  *
  * <p>Decisions are made under this object's monitor, effects are carried out without it.
  */
-final class GatewayExchange implements TargetAttempt.Listener {
+final class GatewayExchange implements TargetAttempt.Listener, PlacementWish.Listener {
 
   private final ExchangeServices services;
   private final CallerRequest call;
@@ -38,8 +38,7 @@
     this.call = call;
     this.onEnded = onEnded;
     this.wish =
-        new PlacementWish(
-            call.route(), call.service(), call.key(), call.body().length, this::onPlaced);
+        new PlacementWish(call.route(), call.service(), call.key(), call.body().length, this);
     this.machine = new ExchangeMachine(profileOf(call), this::takesBudget);
   }
 
@@ -69,7 +68,8 @@
     decide(() -> machine.onStart(turnedAway, nowMs));
   }
 
-  private void onPlaced(Slot placed) {
+  @Override
+  public void onPlaced(Slot placed) {
     patience.cancel();
     slot = placed;
     long refusedForMs =
@@ -83,6 +83,24 @@
     }
   }
 
+  @Override
+  public void onLimited(QuotaRefusal refusal) {
+    patience.cancel();
+    countUnservedWork();
+    services
+        .log()
+        .write(
+            "request_limited",
+            "id={} service={} key={} target={} limit_per_s={} retry_after_ms={}",
+            call.attemptId(),
+            call.service(),
+            call.key().isPresent() ? call.key().getAsInt() : "-",
+            refusal.target(),
+            refusal.limitPerS(),
+            refusal.retryAfterMs());
+    decide(() -> machine.onLimited(refusal.retryAfterMs()));
+  }
+
   /** Ends a request that may be sent to no target; that may come up while it waits. */
   private boolean isRefused(long forMs) {
     if (forMs > 0) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -86,15 +86,17 @@
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
     KeyWorkMeter keyWork = new KeyWorkMeter();
+    TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     Dispatcher dispatcher =
-        new Dispatcher(state, new DataCentreId(settings.dataCentre()), clock, random.split());
+        new Dispatcher(
+            state, new DataCentreId(settings.dataCentre()), clock, random.split(), quotas);
     RequestQuarantine quarantine = new RequestQuarantine(clock);
     CrashWitness witness = new CrashWitness(state, probe, timers, clock);
     ExchangeServices services =
         new ExchangeServices(
             state,
             dispatcher,
-            new TargetQuotas(clock, log),
+            quotas,
             client,
             new RepeatBudgets(settings, clock),
             quarantine,
@@ -106,7 +108,7 @@
             log,
             metrics,
             stopping);
-    this.reports = new TrafficReports(keyWork, dispatcher, quarantine, witness);
+    this.reports = new TrafficReports(keyWork, dispatcher, quotas, quarantine, witness);
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress());
@@ -123,6 +125,10 @@
         "cuminvalve_quarantined_requests",
         "Requests that go to no target, since several have ended under them.",
         quarantine::size);
+    page.addGauge(
+        "cuminvalve_limited_targets",
+        "Targets that name how many requests a second they take from all gateways together.",
+        quotas::size);
   }
 
   /** Few connections: one thread accepts and reads them. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
@@ -7,29 +7,37 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /** A request that wants a slot at a target. */
 final class PlacementWish {
 
+  /** Hears how it went, at most once for each time the wish is submitted. */
+  interface Listener {
+
+    /** There is a slot. */
+    void onPlaced(Slot slot);
+
+    /** There will be none in time: targets take no more for now. */
+    void onLimited(QuotaRefusal refusal);
+  }
+
   private final Route route;
   private final ServiceId service;
   private final OptionalInt key;
   private final int bodyBytes;
-  private final Consumer<Slot> onPlaced;
+  private final Listener listener;
   private final Set<TargetId> tried = new HashSet<>();
   private long order;
   private volatile OptionalInt answerBytes = OptionalInt.empty();
   private OwnersVersion placedUnder = OwnersVersion.NONE;
   private Optional<OwnersVersion> avoided = Optional.empty();
 
-  PlacementWish(
-      Route route, ServiceId service, OptionalInt key, int bodyBytes, Consumer<Slot> onPlaced) {
+  PlacementWish(Route route, ServiceId service, OptionalInt key, int bodyBytes, Listener listener) {
     this.route = route;
     this.service = service;
     this.key = key;
     this.bodyBytes = bodyBytes;
-    this.onPlaced = onPlaced;
+    this.listener = listener;
   }
 
   Route route() {
@@ -91,6 +99,10 @@
   }
 
   void placed(Slot slot) {
-    onPlaced.accept(slot);
+    listener.onPlaced(slot);
+  }
+
+  void limited(QuotaRefusal refusal) {
+    listener.onLimited(refusal);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -123,7 +123,6 @@
       return false;
     }
     headers.put(services.headers().deadlineMs(), remainingMs);
-    services.quotas().onSent(slot.target().id());
     return handover.begin();
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -15,17 +15,19 @@
 
   private final KeyWorkMeter keyWork;
   private final Dispatcher dispatcher;
-
+  private final TargetQuotas quotas;
   private final RequestQuarantine quarantine;
   private final CrashWitness witness;
 
   TrafficReports(
       KeyWorkMeter keyWork,
       Dispatcher dispatcher,
+      TargetQuotas quotas,
       RequestQuarantine quarantine,
       CrashWitness witness) {
     this.keyWork = keyWork;
     this.dispatcher = dispatcher;
+    this.quotas = quotas;
     this.quarantine = quarantine;
     this.witness = witness;
   }
@@ -39,6 +41,15 @@
     return quarantine;
   }
 
+  /**
+   * Returns the limits that targets name.
+   *
+   * @return never null
+   */
+  public TargetQuotas quotas() {
+    return quotas;
+  }
+
   /**
    * Sets who is told of requests under which a target ended, at once.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -9,9 +9,14 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.protocol.QuotaReply;
+import io.cuminvalve.core.protocol.QuotaRequest;
+import io.cuminvalve.core.quota.QuotaGrant;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.WeightedService;
+import io.cuminvalve.gateway.observe.DecisionLog;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -27,11 +32,24 @@
   private static final TargetId FAR = new TargetId("far");
 
   private long ownersNumber;
+  private long nowMs;
   private final RoutingState state = new RoutingState(10);
+  private final List<Runnable> scheduled = new ArrayList<>();
+  private final List<QuotaRequest> questions = new ArrayList<>();
+  private final TargetQuotas quotas =
+      new TargetQuotas(
+          () -> nowMs,
+          new DecisionLog(() -> nowMs, 1, line -> {}),
+          (task, delayMs) -> {
+            scheduled.add(task);
+            return () -> scheduled.remove(task);
+          },
+          new SplittableRandom(2));
   private final Dispatcher dispatcher =
-      new Dispatcher(state, HERE, () -> 0, new SplittableRandom(1));
+      new Dispatcher(state, HERE, () -> nowMs, new SplittableRandom(1), quotas);
   private final List<String> placed = new ArrayList<>();
   private final List<Slot> slots = new ArrayList<>();
+  private final Map<String, QuotaRefusal> refused = new HashMap<>();
 
   @Test
   void requestsWithoutKeyStayInTheirDataCentre() {
@@ -125,6 +143,61 @@
     assertThat(dispatcher.turnsAway(wish("two", 1, OptionalInt.empty(), 0))).isFalse();
   }
 
+  @Test
+  void ownersWithLimitsGetWhatTheHolderGrants() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    owner(NEAR, true);
+    limit(NEAR, "2");
+    submit("one", 1, OptionalInt.of(7));
+    submit("two", 1, OptionalInt.of(7));
+    assertThat(placed).isEmpty();
+    assertThat(questions).hasSize(1);
+    quotas.onReply(new QuotaReply(NEAR, 1, new QuotaGrant(1, 400, 500)));
+    assertThat(placed).containsExactly("one");
+    assertThat(questions).hasSize(1);
+    assertThat(refused.get("two").target()).isEqualTo(NEAR);
+    assertThat(refused.get("two").retryAfterMs()).isAtLeast(400);
+    submit("three", 1, OptionalInt.of(7));
+    assertThat(refused.keySet()).containsExactly("two", "three");
+    assertThat(refused.get("three").retryAfterMs())
+        .isGreaterThan(refused.get("two").retryAfterMs());
+  }
+
+  @Test
+  void requestsWithoutKeyGoElsewhereMeanwhile() {
+    targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
+    limit(NEAR, "2");
+    submit("one", 1, OptionalInt.empty());
+    assertThat(slots.get(0).target().id()).isEqualTo(FAR);
+    assertThat(questions).hasSize(1);
+    quotas.onReply(new QuotaReply(NEAR, 1, new QuotaGrant(1, 0, 500)));
+    submit("two", 1, OptionalInt.empty());
+    assertThat(slots.get(1).target().id()).isEqualTo(NEAR);
+    limit(FAR, "2");
+    submit("three", 1, OptionalInt.empty());
+    quotas.onReply(new QuotaReply(NEAR, 1, new QuotaGrant(0, 400, 500)));
+    assertThat(refused).isEmpty();
+    quotas.onReply(new QuotaReply(FAR, 1, new QuotaGrant(0, 300, 500)));
+    assertThat(refused.get("three").target()).isEqualTo(FAR);
+  }
+
+  @Test
+  void anAnswerThatDoesNotComeIsNotWaitedFor() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    owner(NEAR, true);
+    limit(NEAR, "2");
+    submit("one", 1, OptionalInt.of(7));
+    nowMs += 151;
+    List.copyOf(scheduled).forEach(Runnable::run);
+    assertThat(refused.keySet()).containsExactly("one");
+  }
+
+  private void limit(TargetId target, String perS) {
+    quotas.onAsk(questions::add);
+    nowMs++;
+    quotas.onAnswer(target, perS, nowMs);
+  }
+
   private void fill() {
     int waiting = dispatcher.waitingCount();
     while (dispatcher.waitingCount() == waiting) {
@@ -159,9 +232,17 @@
         SERVICE,
         key,
         bodyBytes,
-        slot -> {
-          placed.add(name);
-          slots.add(slot);
+        new PlacementWish.Listener() {
+          @Override
+          public void onPlaced(Slot slot) {
+            placed.add(name);
+            slots.add(slot);
+          }
+
+          @Override
+          public void onLimited(QuotaRefusal refusal) {
+            refused.put(name, refusal);
+          }
         });
   }
 
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -26,6 +26,7 @@
 import io.cuminvalve.core.protocol.LeaseReply;
 import io.cuminvalve.core.protocol.LeaseRequest;
 import io.cuminvalve.core.protocol.LeasesLeft;
+import io.cuminvalve.core.protocol.LimitNews;
 import io.cuminvalve.core.protocol.LoadReport;
 import io.cuminvalve.core.protocol.NotHolder;
 import io.cuminvalve.core.protocol.PeerMessage;
@@ -38,6 +39,8 @@
 import io.cuminvalve.core.protocol.PermitRequest;
 import io.cuminvalve.core.protocol.PermitWithdrawn;
 import io.cuminvalve.core.protocol.PermitsClosed;
+import io.cuminvalve.core.protocol.QuotaReply;
+import io.cuminvalve.core.protocol.QuotaRequest;
 import io.cuminvalve.core.protocol.RouterHello;
 import io.cuminvalve.core.protocol.RouterHints;
 import io.cuminvalve.core.protocol.RouterLeave;
@@ -113,7 +116,10 @@
           type(47, TargetsChange.class),
           type(48, ConfigurationNews.class),
           type(49, FollowerBeat.class),
-          type(50, CrashNews.class));
+          type(50, CrashNews.class),
+          type(51, LimitNews.class),
+          type(52, QuotaRequest.class),
+          type(53, QuotaReply.class));
 
   private PeerMessageTypes() {}
 
