Relieve an owner with a limit by moving its keys

Cause: an owner of keys is the only target that may run their requests. Once its limit is kept, whatever comes beyond it is refused, while other targets are idle: load was evened out by slots, and a target in need had as many as before.

Change: the holder evens out load by what each target can bear. For a target with a limit that is the limit times the mean work of a request of the service, which reports of work now let it know. Keys of targets that leave go to the target that is least busy with them, so that one with a limit is not filled.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/HotKeyPlacement.java
@@ -71,12 +71,12 @@
   }
 
   private static double costOf(TargetLoad target, TargetSpeeds speeds) {
-    return speeds.of(target.id()) / target.slots();
+    return speeds.of(target.id()) / target.capacity();
   }
 
   private static List<HotKey> hotKeysOf(TargetLoad owner, List<KeyRange> ranges, KeyLoads loads) {
     List<HotKey> found = new ArrayList<>();
-    double least = owner.slots() * HOT_SHARE;
+    double least = owner.capacity() * HOT_SHARE;
     for (KeyRange range : ranges) {
       for (int key = range.first(); key <= range.last(); key++) {
         if (loads.of(key) > least) {
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/MovePlanner.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/MovePlanner.java
@@ -85,12 +85,13 @@
     for (KeyRange range : target.ranges()) {
       ranges.addAll(range.without(keys));
     }
-    return new TargetLoad(target.id(), target.slots(), ranges, target.otherRanges());
+    return new TargetLoad(
+        target.id(), target.slots(), target.capacity(), ranges, target.otherRanges());
   }
 
   private static TargetLoad with(TargetLoad target, KeyRange keys) {
     List<KeyRange> others = new ArrayList<>(target.otherRanges());
     others.add(keys);
-    return new TargetLoad(target.id(), target.slots(), target.ranges(), others);
+    return new TargetLoad(target.id(), target.slots(), target.capacity(), target.ranges(), others);
   }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeBalancer.java
@@ -43,7 +43,7 @@
     for (TargetLoad target : targets) {
       double load = target.busySlots(loads);
       busy += load;
-      slots += target.slots();
+      slots += target.capacity();
       shares.add(new Share(target, load));
     }
     double mean = slots == 0 ? 0 : busy / slots;
@@ -82,7 +82,7 @@
   }
 
   private static double wantedLoad(Share from, Share to) {
-    double evenShare = (from.load + to.load) / ((double) from.slots + to.slots);
+    double evenShare = (from.load + to.load) / (from.slots + to.slots);
     return from.load - evenShare * from.slots;
   }
 
@@ -160,14 +160,14 @@
   private static final class Share {
 
     private final TargetId id;
-    private final int slots;
+    private final double slots;
     private final List<KeyRange> ranges;
     private double load;
     private boolean gains;
 
     Share(TargetLoad target, double load) {
       this.id = target.id();
-      this.slots = target.slots();
+      this.slots = target.capacity();
       this.ranges = new ArrayList<>(target.ranges());
       this.load = load;
       this.gains = !target.otherRanges().isEmpty();
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeTidier.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/RangeTidier.java
@@ -80,7 +80,7 @@
   }
 
   private static boolean takesMore(TargetLoad target, KeyLoads loads) {
-    return target.busySlots(loads) / target.slots() < MAX_SHARE;
+    return target.busySlots(loads) / target.capacity() < MAX_SHARE;
   }
 
   private static List<Owned> neighbours(List<Owned> owned, int index) {
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/TargetLoad.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/balance/TargetLoad.java
@@ -9,12 +9,14 @@
  *
  * @param id the target; not null
  * @param slots how many requests it works on at the same time
+ * @param capacity how many busy slots all its requests may take: fewer than its slots if it names a
+ *     limit
  * @param ranges what it owns and what may be moved; not null
  * @param otherRanges what it owns or is about to own, but cannot be moved now; not null
  * @since 0.2
  */
 public record TargetLoad(
-    TargetId id, int slots, List<KeyRange> ranges, List<KeyRange> otherRanges) {
+    TargetId id, int slots, double capacity, List<KeyRange> ranges, List<KeyRange> otherRanges) {
 
   /** Copies the lists. */
   public TargetLoad {
@@ -22,6 +24,18 @@
     otherRanges = List.copyOf(otherRanges);
   }
 
+  /**
+   * Creates the load of a target that names no limit.
+   *
+   * @param id the target; not null
+   * @param slots how many requests it works on at the same time
+   * @param ranges what it owns and what may be moved; not null
+   * @param otherRanges what it owns or is about to own, but cannot be moved now; not null
+   */
+  public TargetLoad(TargetId id, int slots, List<KeyRange> ranges, List<KeyRange> otherRanges) {
+    this(id, slots, slots, ranges, otherRanges);
+  }
+
   /**
    * Returns the load of all its ranges.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/KeyLoadReport.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/KeyLoadReport.java
@@ -8,6 +8,8 @@
  * @param service the service; not null
  * @param keys the keys; not null
  * @param workMs the time that the requests of each took; milliseconds; not null, same length
+ * @param requests how many requests that were, of all keys together
  * @since 0.2
  */
-public record KeyLoadReport(ServiceId service, int[] keys, int[] workMs) implements FleetMessage {}
+public record KeyLoadReport(ServiceId service, int[] keys, int[] workMs, int requests)
+    implements FleetMessage {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.control;
 
+import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.quarantine.CrashLedger;
 import io.cuminvalve.gateway.GatewayPorts;
@@ -16,8 +17,10 @@
 import io.cuminvalve.wire.RecordCodec;
 import io.cuminvalve.wire.TcpPeerNetwork;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 
 /**
  * Everything of a gateway that is not traffic: configuration, term, targets, owners.
@@ -54,6 +57,7 @@
   private final ConfigurationWatch configuration;
   private final FleetLink link;
   private final TermLease termLease;
+  private final Function<TargetId, OptionalDouble> limits;
   private Optional<HolderDuties> duties = Optional.empty();
   private volatile boolean holdsTerm;
   private boolean storeCameBack;
@@ -86,6 +90,7 @@
     this.clock = clock;
     this.log = log;
     this.random = new SplittableRandom();
+    this.limits = reports.quotas()::limitOf;
     this.network =
         new TcpPeerNetwork(
             new PeerNetworkSettings(
@@ -251,7 +256,8 @@
             term,
             termLease,
             link,
-            storeCameBack);
+            storeCameBack,
+            limits);
     duties = Optional.of(next);
     holdsTerm = true;
     link.setDuties(duties);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -32,8 +32,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.function.Function;
 
 /**
  * What the holder of the term does: follows the targets, assigns keys, keeps the leases going.
@@ -83,6 +85,7 @@
   private final TermLease termLease;
   private final Audience audience;
   private final boolean storeCameBack;
+  private final Function<TargetId, OptionalDouble> limits;
   private final RegistryFollower follower;
   private final OwnershipStore ownership;
   private final OrderSender sender;
@@ -120,7 +123,8 @@
       long term,
       TermLease termLease,
       Audience audience,
-      boolean storeCameBack) {
+      boolean storeCameBack,
+      Function<TargetId, OptionalDouble> limits) {
     this.ports = ports;
     this.state = state;
     this.control = control;
@@ -131,6 +135,7 @@
     this.termLease = termLease;
     this.audience = audience;
     this.storeCameBack = storeCameBack;
+    this.limits = limits;
     this.startedMs = clock.nowMs();
     this.follower =
         new RegistryFollower(
@@ -418,7 +423,7 @@
       follower.register().of(id).forEach(target -> desk.onRestarted(target.id()));
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
-    return new ServiceDuties(id, desk, log, clock.nowMs());
+    return new ServiceDuties(id, desk, log, limits, clock.nowMs());
   }
 
   private long nextToken() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -26,7 +26,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Decides for one service which target is to own which keys.
@@ -70,6 +72,7 @@
   private final DecisionLog log;
   private final KeyLoads loads;
   private final TargetSpeeds speeds = new TargetSpeeds();
+  private final LimitCapacity capacity;
   private final Set<TargetId> busy = new HashSet<>();
   private final RangeTidier tidier = new RangeTidier();
   private final OverloadPolicy overload = new OverloadPolicy();
@@ -83,11 +86,17 @@
   private long balancedMs;
   private long tidiedMs;
 
-  ServiceDuties(ServiceId service, LeaseDesk desk, DecisionLog log, long nowMs) {
+  ServiceDuties(
+      ServiceId service,
+      LeaseDesk desk,
+      DecisionLog log,
+      Function<TargetId, OptionalDouble> limits,
+      long nowMs) {
     this.service = service;
     this.desk = desk;
     this.log = log;
     this.loads = new KeyLoads(LOAD_MEMORY_MS, nowMs);
+    this.capacity = new LimitCapacity(limits);
     this.startedMs = nowMs;
     this.targetsChangedMs = nowMs;
     this.balancedMs = nowMs;
@@ -110,6 +119,7 @@
   }
 
   void onKeyWork(KeyLoadReport report) {
+    capacity.onWork(report.workMs(), report.requests());
     int count = Math.min(report.keys().length, report.workMs().length);
     for (int i = 0; i < count; i++) {
       int key = report.keys()[i];
@@ -187,25 +197,27 @@
     if (homeless.isEmpty()) {
       return;
     }
+    List<TargetLoad> targets = targetLoads(ready, nowMs);
     Map<TargetId, Double> loadByTarget = new HashMap<>();
-    targetLoads(ready, nowMs)
-        .forEach(target -> loadByTarget.put(target.id(), target.busySlots(loads)));
+    targets.forEach(target -> loadByTarget.put(target.id(), target.busySlots(loads)));
     for (KeyRange range : homeless) {
       for (KeyRange part : parts(range, ready.size())) {
-        FleetTarget least = leastBusy(ready, loadByTarget);
-        desk.move(part, least.id(), nowMs);
-        loadByTarget.merge(least.id(), loads.of(part), Double::sum);
-        log.write("keys_evacuated", "service={} keys={} to={}", service, part, least.id());
+        TargetId least = leastBusyWith(loads.of(part), targets, loadByTarget);
+        desk.move(part, least, nowMs);
+        loadByTarget.merge(least, loads.of(part), Double::sum);
+        log.write("keys_evacuated", "service={} keys={} to={}", service, part, least);
       }
     }
   }
 
-  private static FleetTarget leastBusy(List<FleetTarget> ready, Map<TargetId, Double> loads) {
-    return ready.stream()
+  private static TargetId leastBusyWith(
+      double added, List<TargetLoad> targets, Map<TargetId, Double> loads) {
+    return targets.stream()
         .min(
             Comparator.comparingDouble(
-                target -> loads.getOrDefault(target.id(), 0.0) / target.slots()))
-        .orElseThrow();
+                target -> (loads.get(target.id()) + added) / target.capacity()))
+        .orElseThrow()
+        .id();
   }
 
   private List<KeyRange> parts(KeyRange range, int targets) {
@@ -265,6 +277,7 @@
           new TargetLoad(
               target.id(),
               target.slots(),
+              capacity.of(target),
               settled.getOrDefault(target.id(), List.of()),
               others.getOrDefault(target.id(), List.of())));
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/KeyWorkMeter.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/KeyWorkMeter.java
@@ -14,7 +14,7 @@
  */
 public final class KeyWorkMeter {
 
-  private Map<ServiceId, Map<Integer, Integer>> workByServiceMs = new HashMap<>();
+  private Map<ServiceId, ServiceWork> workByService = new HashMap<>();
 
   /**
    * Adds the time of one request.
@@ -24,9 +24,9 @@
    * @param tookMs milliseconds from sending it to its answer
    */
   public synchronized void add(ServiceId service, int key, long tookMs) {
-    workByServiceMs
-        .computeIfAbsent(service, id -> new HashMap<>())
-        .merge(key, (int) Math.max(1, tookMs), Integer::sum);
+    ServiceWork work = workByService.computeIfAbsent(service, id -> new ServiceWork());
+    work.byKeyMs.merge(key, (int) Math.max(1, tookMs), Integer::sum);
+    work.requests++;
   }
 
   /**
@@ -35,25 +35,32 @@
    * @return one report for each service with work; never null
    */
   public List<KeyLoadReport> take() {
-    Map<ServiceId, Map<Integer, Integer>> taken;
+    Map<ServiceId, ServiceWork> taken;
     synchronized (this) {
-      taken = workByServiceMs;
-      workByServiceMs = new HashMap<>();
+      taken = workByService;
+      workByService = new HashMap<>();
     }
     List<KeyLoadReport> reports = new ArrayList<>();
     taken.forEach((service, work) -> reports.add(reportOf(service, work)));
     return reports;
   }
 
-  private static KeyLoadReport reportOf(ServiceId service, Map<Integer, Integer> workMs) {
-    int[] keys = new int[workMs.size()];
-    int[] values = new int[workMs.size()];
+  private static KeyLoadReport reportOf(ServiceId service, ServiceWork work) {
+    int[] keys = new int[work.byKeyMs.size()];
+    int[] values = new int[work.byKeyMs.size()];
     int next = 0;
-    for (Map.Entry<Integer, Integer> entry : workMs.entrySet()) {
+    for (Map.Entry<Integer, Integer> entry : work.byKeyMs.entrySet()) {
       keys[next] = entry.getKey();
       values[next] = entry.getValue();
       next++;
     }
-    return new KeyLoadReport(service, keys, values);
+    return new KeyLoadReport(service, keys, values, work.requests);
+  }
+
+  /** The work of one service since the last report. */
+  private static final class ServiceWork {
+
+    private final Map<Integer, Integer> byKeyMs = new HashMap<>();
+    private int requests;
   }
 }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServiceDutiesTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServiceDutiesTest.java
@@ -14,6 +14,11 @@
 import io.cuminvalve.core.lease.OrderOutcome;
 import io.cuminvalve.core.protocol.KeyLoadReport;
 import io.cuminvalve.gateway.observe.DecisionLog;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,12 +32,19 @@
   private static final long SETTLED_MS = 10_000;
   private static final int BUSY_KEYS = 40;
   private static final int WORK_MS = 300;
+  private static final int LITTLE_WORK_MS = 20;
 
   private final TargetRegister register = new TargetRegister();
+  private final Map<TargetId, OptionalDouble> limits = new HashMap<>();
   private long tokens;
   private final LeaseDesk desk = new LeaseDesk(SERVICE, TIMINGS, () -> ++tokens);
   private final ServiceDuties duties =
-      new ServiceDuties(SERVICE, desk, new DecisionLog(() -> 0, 100, line -> {}), 0);
+      new ServiceDuties(
+          SERVICE,
+          desk,
+          new DecisionLog(() -> 0, 100, line -> {}),
+          id -> limits.getOrDefault(id, OptionalDouble.empty()),
+          0);
 
   @BeforeEach
   void assignKeys() {
@@ -44,13 +56,18 @@
       desk.onGrantEnded((LeaseOrder.Grant) order, OrderOutcome.DONE, SETTLED_MS, SETTLED_MS);
     }
     duties.plan(register, 3, true, SETTLED_MS);
+  }
+
+  /** The first keys, all of one owner, cause work. */
+  private void onWork(int workMs) {
     int[] keys = IntStream.range(0, BUSY_KEYS).toArray();
-    int[] workMs = IntStream.range(0, BUSY_KEYS).map(key -> WORK_MS).toArray();
-    duties.onKeyWork(new KeyLoadReport(SERVICE, keys, workMs));
+    int[] work = IntStream.range(0, BUSY_KEYS).map(key -> workMs).toArray();
+    duties.onKeyWork(new KeyLoadReport(SERVICE, keys, work, BUSY_KEYS));
   }
 
   @Test
   void unevenLoadIsEvenedOut() {
+    onWork(WORK_MS);
     duties.plan(register, 3, true, SETTLED_MS + 250);
     assertThat(desk.needsWrite()).isTrue();
   }
@@ -58,11 +75,46 @@
   /** A move closes its keys until it is written, which may take as long as the outage. */
   @Test
   void unevenLoadIsLeftAloneWhileTheStoreDoesNotAnswer() {
+    onWork(WORK_MS);
     duties.plan(register, 3, false, SETTLED_MS + 250);
     assertThat(desk.needsWrite()).isFalse();
     assertThat(desk.routes().stream().allMatch(route -> route.open())).isTrue();
   }
 
+  /** Its slots are nearly idle, but it takes 2 requests a second and gets 20. */
+  @Test
+  void ownersWithLimitsAreRelieved() {
+    onWork(LITTLE_WORK_MS);
+    duties.plan(register, 3, true, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isFalse();
+    limits.put(ownerOf(0), OptionalDouble.of(2));
+    duties.plan(register, 3, true, SETTLED_MS + 500);
+    assertThat(desk.needsWrite()).isTrue();
+    assertThat(ownersOfBusyKeys()).hasSize(2);
+  }
+
+  @Test
+  void targetsWithLimitsGetFewerKeysOfThoseThatLeave() {
+    register.put(target("c", TargetPhase.READY));
+    onWork(WORK_MS);
+    limits.put(new TargetId("c"), OptionalDouble.of(0.1));
+    register.put(target(ownerOf(0).value(), TargetPhase.DRAINING));
+    duties.plan(register, 3, true, SETTLED_MS + 250);
+    assertThat(ownersOfBusyKeys()).doesNotContain(new TargetId("c"));
+  }
+
+  private TargetId ownerOf(int key) {
+    return desk.routes().stream()
+        .filter(route -> route.firstKey() <= key && key <= route.lastKey())
+        .findFirst()
+        .orElseThrow()
+        .owner();
+  }
+
+  private Set<TargetId> ownersOfBusyKeys() {
+    return IntStream.range(0, BUSY_KEYS).mapToObj(this::ownerOf).collect(Collectors.toSet());
+  }
+
   @Test
   void keysOfTargetsThatLeaveAreMovedInAnyCase() {
     register.put(target("a", TargetPhase.DRAINING));
