--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/CauseFinder.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/CauseFinder.java
@@ -33,6 +33,7 @@
       return causes;
     }
     causes.addAll(new QuarantineFinder(end).causes(lines));
+    causes.addAll(new LimitFinder(end).causes(lines));
     OptionalInt key = end.key();
     if (key.isPresent()) {
       addOwner(KeyStory.of(key.getAsInt(), end.value("service"), lines), causes);
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -21,6 +21,12 @@
           Map.entry("refused_by_target", "targets proved several times that they did not run it"),
           Map.entry(
               "quarantined", "several targets ended under requests like it, so it is sent to none"),
+          Map.entry(
+              "target_limited",
+              "all targets that may run it take a limited number of requests a second"),
+          Map.entry(
+              "limit_unanswered",
+              "the holder did not answer in time whether its target, which has a limit, takes it"),
           Map.entry("timeout", "its time was over while a target worked on it"),
           Map.entry("timeout_unsent", "its time was over before it was sent"),
           Map.entry("foreign_answer", "the target answered another request on its connection"),
