Add a failing test: the time of day ends leases at targets

Cause: not mended yet; the one clock of a process counts every gain of the time of day as time that has passed. Figures: a lease of 4 s counts as over at once when the time of day is set ahead.

--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseClockTest.java
@@ -0,0 +1,82 @@
+package io.cuminvalve.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.kernel.SuspensionClock;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Leases at targets while the time of day of the holder's host is set. */
+class LeaseClockTest {
+
+  private static final ServiceId SERVICE = new ServiceId("core");
+  private static final TargetId A = new TargetId("a");
+  private static final TargetId B = new TargetId("b");
+  private static final KeyRange FIRST_KEYS = new KeyRange(0, 99);
+  private static final LeaseTimings TIMINGS =
+      new LeaseTimings(4_000, 10_000, 1_000, 1_800, 5, 200, 0.02, 150, 9_500);
+
+  private long passedMs = 1_000;
+  private long timeOfDayMs = 1_700_000_000_000L;
+  private long tokens;
+  private final SuspensionClock clock =
+      new SuspensionClock(() -> passedMs, () -> timeOfDayMs, forMs -> {});
+  private final LeaseDesk desk = new LeaseDesk(SERVICE, TIMINGS, () -> ++tokens);
+
+  @BeforeEach
+  void partition() {
+    desk.partition(List.of(target(A), target(B)));
+    desk.onWritten(desk.version());
+    desk.due(clock.nowMs(), target -> true)
+        .forEach(
+            order ->
+                desk.onGrantEnded(
+                    (LeaseOrder.Grant) order, OrderOutcome.DONE, clock.nowMs(), clock.nowMs()));
+  }
+
+  /** Guards against keys that are granted to a second target since the time of day was set. */
+  @Test
+  void leasesRunOnWhenTheTimeOfDayIsSetAhead() {
+    desk.move(FIRST_KEYS, B, clock.nowMs());
+    desk.onWritten(desk.version());
+    for (LeaseOrder order : desk.due(clock.nowMs(), target -> true)) {
+      desk.onReleaseEnded(
+          (LeaseOrder.Release) order, OrderOutcome.UNANSWERED, Optional.empty(), clock.nowMs());
+    }
+    long endsMs = TIMINGS.boundMs(TIMINGS.leaseMs());
+    timeOfDayMs += 9_000;
+    assertThat(grantsOfFirstKeysToB()).isEqualTo(0);
+    pass(1_500);
+    timeOfDayMs -= 9_000;
+    pass(500);
+    timeOfDayMs += 9_000;
+    pass(endsMs - 2_001);
+    assertThat(grantsOfFirstKeysToB()).isEqualTo(0);
+    pass(1);
+    assertThat(grantsOfFirstKeysToB()).isEqualTo(1);
+  }
+
+  private void pass(long forMs) {
+    passedMs += forMs;
+    timeOfDayMs += forMs;
+  }
+
+  private long grantsOfFirstKeysToB() {
+    return desk.due(clock.nowMs(), target -> true).stream()
+        .filter(LeaseOrder.Grant.class::isInstance)
+        .filter(order -> order.target().equals(B) && order.range().contains(FIRST_KEYS))
+        .count();
+  }
+
+  private static FleetTarget target(TargetId id) {
+    return new FleetTarget(
+        id, SERVICE, "10.0.0.1:80", new DataCentreId("dc"), 4, TargetPhase.READY, 0);
+  }
+}
