Count no more time than has passed where leases of others have to run out

Cause: callers of a key were served by two targets at once after the time of day of the holder's host had been set ahead. Its one clock took every gain of the time of day for a suspension, and leases that it had granted counted as over by that much too early.

Change: a clock has two bounds on the time that has passed. nowMs() is the steady clock: never more than what passed, used wherever a process waits until something of others is over, and for deadlines. upper() is never less, counts suspensions and is a type of its own, UpperTime, so that neither compiles in place of the other: the holder's own term, ages of what is known, the silence of a holder. A holder also notices a suspension before it sends its next order, not when the news of it arrives.

--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseClockTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseClockTest.java
@@ -50,7 +50,7 @@
       desk.onReleaseEnded(
           (LeaseOrder.Release) order, OrderOutcome.UNANSWERED, Optional.empty(), clock.nowMs());
     }
-    long endsMs = TIMINGS.boundMs(TIMINGS.leaseMs());
+    final long endsMs = TIMINGS.boundMs(TIMINGS.leaseMs());
     timeOfDayMs += 9_000;
     assertThat(grantsOfFirstKeysToB()).isEqualTo(0);
     pass(1_500);
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.kernel.UpperTime;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -45,7 +46,9 @@
   private boolean writing;
   private boolean stopped;
   private boolean storeReachable = true;
-  private long stopsAtMs = Long.MAX_VALUE;
+  private final HostClock clock;
+  private Optional<UpperTime> lostAt = Optional.empty();
+  private boolean confirmed = true;
   private long tokenCount;
   private String unreachable = "";
   private long reachableAtMs;
@@ -62,7 +65,8 @@
     this.fleet = fleet;
     this.network = network;
     this.store = store;
-    startedMs = time.nowMs();
+    clock = new HostClock(time);
+    startedMs = clock.nowMs();
     listLagMs = time.between(0, 1_000);
     revision = store.revision();
     takenOverFrom = store.stored().term();
@@ -102,9 +106,9 @@
   }
 
   /** The path to one target is cut for a while; that of the holder before need not be. */
-  void cutFromOneTarget() {
+  void cutFromOneTarget(long longestMs) {
     unreachable = fleet.anyLiving().map(LeaseTarget::address).orElse("");
-    reachableAtMs = time.nowMs() + time.between(0, 15_000);
+    reachableAtMs = time.nowMs() + time.between(0, longestMs);
   }
 
   /** The holder before stops and tells which leases may still be in force. */
@@ -114,14 +118,15 @@
       desks.forEach(
           (service, desk) ->
               desk.limitForeignLeases(
-                  predecessor.desks.get(service).leasesLeft(time.nowMs()), time.nowMs()));
+                  predecessor.desks.get(service).leasesLeft(predecessor.clock.nowMs()),
+                  clock.nowMs()));
     }
   }
 
   /** Another holder has the term; this one may or may not learn it from the store. */
   void cutOff(boolean unreachableStore) {
     storeReachable = !unreachableStore;
-    stopsAtMs = time.nowMs() + TIMINGS.holderGraceMs();
+    lostAt = Optional.of(clock.upper());
   }
 
   /** Learns that another run answers at the address of a target. */
@@ -136,22 +141,52 @@
   }
 
   void step() {
-    if (stopped || time.nowMs() > stopsAtMs || time.nowMs() < idleUntilMs) {
+    if (stopped || clock.isAsleep()) {
+      return;
+    }
+    if (clock.takeGain()) {
+      confirmed = false;
+      confirm();
+    }
+    if (!confirmed || isGraceOver() || clock.nowMs() < idleUntilMs) {
       return;
     }
     desks.forEach(this::decide);
     write();
     for (LeaseDesk desk : desks.values()) {
-      desk.due(time.nowMs(), target -> true).forEach(order -> send(desk, order));
+      desk.due(clock.nowMs(), target -> true).forEach(order -> send(desk, order));
     }
     if (desks.values().stream().anyMatch(LeaseDesk::hasStaleTokens)) {
       stopped = true;
     }
   }
 
+  private boolean isGraceOver() {
+    return lostAt.filter(at -> clock.upper().sinceMs(at) > TIMINGS.holderGraceMs()).isPresent();
+  }
+
+  /** Asks the store whether the term is still its own, as it may have slept. */
+  private void confirm() {
+    if (!storeReachable) {
+      return;
+    }
+    time.later(
+        time.between(1, 60),
+        () ->
+            clock.awake(
+                () -> {
+                  stopped |= isReplaced();
+                  confirmed = true;
+                }));
+  }
+
+  HostClock clock() {
+    return clock;
+  }
+
   private void decide(ServiceId service, LeaseDesk desk) {
     // Who may take a name over has to know: no other holder is there while the term is confirmed.
-    boolean unconfirmed = fleet.namesAreUsedAgain() && stopsAtMs < Long.MAX_VALUE;
+    boolean unconfirmed = fleet.namesAreUsedAgain() && lostAt.isPresent();
     desk.setOutage(!storeReachable || unconfirmed);
     List<LeaseTarget> usable = usable(service);
     if (usable.isEmpty()) {
@@ -167,7 +202,7 @@
       moveAnywhere(desk, keysOf(time.draw(LeaseTarget.SAMPLES)), usable);
     }
     if (time.onceIn(40)) {
-      desk.joinNeighbours(time.nowMs());
+      desk.joinNeighbours(clock.nowMs());
     }
   }
 
@@ -192,7 +227,7 @@
   }
 
   private void moveAnywhere(LeaseDesk desk, KeyRange keys, List<LeaseTarget> usable) {
-    desk.move(keys, usable.get(time.draw(usable.size())).id(), time.nowMs());
+    desk.move(keys, usable.get(time.draw(usable.size())).id(), clock.nowMs());
   }
 
   /** Returns the targets that may own keys, as far as this holder knows. */
@@ -232,7 +267,7 @@
             term,
             desks.values().stream()
                 .filter(LeaseDesk::isPartitioned)
-                .map(desk -> desk.table(time.nowMs()))
+                .map(desk -> desk.table(clock.nowMs()))
                 .toList(),
             this::addressOf,
             epoch);
@@ -248,7 +283,7 @@
           }
           hasWritten = true;
           revision = store.revision();
-          time.later(time.between(0, 30), () -> onWritten(versions, afterwards));
+          time.later(time.between(0, 30), () -> clock.awake(() -> onWritten(versions, afterwards)));
         });
   }
 
@@ -261,7 +296,7 @@
 
   /** Most gateways follow another holder by then, whatever the older store says of the term. */
   private boolean isReplaced() {
-    return stopsAtMs < Long.MAX_VALUE;
+    return lostAt.isPresent();
   }
 
   /** Somebody else has written, or the store came back older and lacks what this holder wrote. */
@@ -281,9 +316,9 @@
   }
 
   private void send(LeaseDesk desk, LeaseOrder order) {
-    long sentMs = time.nowMs();
+    long sentMs = clock.nowMs();
     LeaseTarget named = fleet.run(order.target());
-    boolean cut = named.address().equals(unreachable) && sentMs < reachableAtMs;
+    boolean cut = named.address().equals(unreachable) && time.nowMs() < reachableAtMs;
     Optional<String> address = addressOf(order.target());
     if (cut || address.isEmpty()) {
       time.later(time.between(1, 60), () -> end(desk, order, OrderOutcome.NOT_SENT, sentMs));
@@ -317,10 +352,14 @@
   }
 
   private void end(LeaseDesk desk, LeaseOrder order, OrderOutcome outcome, long sentMs) {
+    clock.awake(() -> noteEnd(desk, order, outcome, sentMs));
+  }
+
+  private void noteEnd(LeaseDesk desk, LeaseOrder order, OrderOutcome outcome, long sentMs) {
     if (order instanceof LeaseOrder.Grant grant) {
-      desk.onGrantEnded(grant, outcome, sentMs, time.nowMs());
+      desk.onGrantEnded(grant, outcome, sentMs, clock.nowMs());
     } else if (order instanceof LeaseOrder.Release release) {
-      desk.onReleaseEnded(release, outcome, Optional.empty(), time.nowMs());
+      desk.onReleaseEnded(release, outcome, Optional.empty(), clock.nowMs());
     }
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
@@ -60,6 +60,24 @@
     assertThat(world.promises().ownedAtMost()).isGreaterThan(LeaseTarget.SAMPLES / 2);
   }
 
+  /** Clocks of holders jump, and holders sleep and wake up as if nothing had happened. */
+  @Property(tries = 150, seed = "17")
+  void noKeyHasTwoOwnersThoughClocksAreSetAndHostsSuspended(@ForAll long seed) {
+    LeaseWorld world = new LeaseWorld(seed, true).withClockFaults();
+    world.run(DURATION_MS);
+    assertWithMessage("violations").that(world.promises().violations()).isEmpty();
+    assertThat(world.suspensions()).isGreaterThan(0);
+    assertThat(world.clockSteps()).isGreaterThan(0);
+  }
+
+  /** All of it at once: names that are used again, older stores, clocks, suspended hosts. */
+  @Property(tries = 150, seed = "19")
+  void noKeyHasTwoOwnersWhateverComesTogether(@ForAll long seed) {
+    LeaseWorld world = new LeaseWorld(seed, true, true).withOlderStores(true).withClockFaults();
+    world.run(DURATION_MS);
+    assertWithMessage("violations").that(world.promises().violations()).isEmpty();
+  }
+
   /** Moves that were written are lost with the store, at times with the holder that made them. */
   @Property(tries = 150, seed = "13")
   void noKeyHasTwoOwnersThoughTheStoreComesBackOlder(@ForAll long seed) {
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
@@ -25,6 +25,13 @@
 
   private static final long STEP_MS = 25;
 
+  private static final long CUT_MS = 15_000;
+
+  /** Longer than a sleeping holder's leases and its grace: it wakes up while nobody else asks. */
+  private static final long LONG_CUT_MS = 40_000;
+
+  private static final long LONGEST_SLEEP_MS = 25_000;
+
   private final VirtualTime time;
   private final boolean namesAreUsedAgain;
   private final LeaseFleet fleet;
@@ -34,6 +41,9 @@
   private final List<LeaseHolder> holders = new ArrayList<>();
   private final Set<Trouble> troubles = EnumSet.noneOf(Trouble.class);
   private boolean olderStores;
+  private boolean clockFaults;
+  private int suspensions;
+  private int clockSteps;
   private boolean waitsForLostMoves = true;
   private int lostRecords;
 
@@ -57,6 +67,22 @@
     return this;
   }
 
+  /** From now on hosts of holders are suspended and their times of day set, at times both. */
+  LeaseWorld withClockFaults() {
+    clockFaults = true;
+    return this;
+  }
+
+  /** Returns how often a holder's host was suspended. */
+  int suspensions() {
+    return suspensions;
+  }
+
+  /** Returns how often a holder's time of day was set. */
+  int clockSteps() {
+    return clockSteps;
+  }
+
   /** Returns how often the store came back without a record that had been written. */
   int lostRecords() {
     return lostRecords;
@@ -109,6 +135,9 @@
     if (time.onceIn(gaveUp ? 20 : 400)) {
       takeOver();
     }
+    if (clockFaults && time.onceIn(60)) {
+      disturbClock();
+    }
     if (olderStores && time.onceIn(250)) {
       comeBackOlder();
     }
@@ -119,6 +148,33 @@
     }
   }
 
+  /** Mostly that of the last holder, or of the one before, which may not know of the last. */
+  private void disturbClock() {
+    int back = Math.min(holders.size() - 1, time.draw(2));
+    HostClock clock = holders.get(holders.size() - 1 - back).clock();
+    boolean both = time.onceIn(4);
+    if (both || time.onceIn(3)) {
+      suspensions++;
+      clock.suspend(time.between(100, LONGEST_SLEEP_MS));
+    } else {
+      clockSteps++;
+      setTimeOfDay(clock);
+    }
+    if (both) {
+      clockSteps++;
+      clock.setTimeOfDay(time.between(100, 9_000));
+    }
+  }
+
+  /** A step ahead or back, which a time service takes back soon, or not at all. */
+  private void setTimeOfDay(HostClock clock) {
+    long byMs = time.between(100, 9_000) * (time.onceIn(3) ? -1 : 1);
+    clock.setTimeOfDay(byMs);
+    if (time.onceIn(2)) {
+      time.later(time.between(50, 2_000), () -> clock.setTimeOfDay(-byMs));
+    }
+  }
+
   /** The holder hears of it within half a second, unless it is lost at that moment. */
   private void comeBackOlder() {
     int writes = time.draw(12);
@@ -168,7 +224,7 @@
     LeaseHolder last = holders.get(holders.size() - 1);
     last.cutOff(time.onceIn(2));
     LeaseHolder next = addHolder();
-    next.cutFromOneTarget();
+    next.cutFromOneTarget(clockFaults ? LONG_CUT_MS : CUT_MS);
     if (time.onceIn(3)) {
       time.later(time.between(0, 3_000), () -> next.askPredecessor(last));
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -96,7 +96,7 @@
     page.addGauge(
         "cuminvalve_targets_age_seconds",
         "How old the newest confirmation of the targets is.",
-        () -> (clock.nowMs() - state.targetsConfirmedMs()) / MS_PER_SECOND);
+        () -> clock.upper().sinceMs(state.targetsConfirmed()) / MS_PER_SECOND);
     page.addGauge(
         "cuminvalve_owners_term",
         "Term of the holder that told the owners; 0 if they were read from the store.",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -7,6 +7,7 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.ports.store.WatchResult;
 import java.util.Map;
@@ -136,10 +137,10 @@
    * Learns which revision another gateway knows.
    *
    * @param known the revision; 0 if it knows none
-   * @param atMs when the store told it so; a time of the clock; milliseconds
+   * @param at when the store told it so; not null
    */
-  public void onHeard(long known, long atMs) {
-    follower.onHeard(known, atMs);
+  public void onHeard(long known, UpperTime at) {
+    follower.onHeard(known, at);
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SharedKey;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetworkSettings;
@@ -282,8 +283,8 @@
   private final class LeasedTerm implements TermKnowledge {
 
     @Override
-    public boolean onHeard(long term, String holderAddress, long atMs) {
-      return termLease.onHeard(term, holderAddress, atMs);
+    public boolean onHeard(long term, String holderAddress, UpperTime at) {
+      return termLease.onHeard(term, holderAddress, at);
     }
 
     @Override
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -30,6 +30,7 @@
 import io.cuminvalve.gateway.traffic.TrafficReports;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.StoreValue;
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetwork;
@@ -97,8 +98,8 @@
   private final FleetView view = new FleetView();
   private Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
-  private long heardMs;
-  private long freshBeatMs;
+  private UpperTime heard;
+  private UpperTime freshBeat;
 
   FleetLink(
       PeerNetwork network,
@@ -138,8 +139,8 @@
     this.deputies = deputies;
     this.configuration = configuration;
     this.startedMs = clock.nowMs();
-    this.heardMs = clock.nowMs();
-    this.freshBeatMs = clock.nowMs();
+    this.heard = clock.upper();
+    this.freshBeat = clock.upper();
   }
 
   void start() {
@@ -172,7 +173,7 @@
 
   /** This gateway holds the term now, or no longer. */
   void setDuties(Optional<HolderDuties> now) {
-    heardMs = clock.nowMs();
+    heard = clock.upper();
     duties.ifPresent(inheritance::onLost);
     duties = now;
     if (now.isPresent()) {
@@ -192,7 +193,7 @@
   void setHolder(String address) {
     if (duties.isEmpty()) {
       holderAddress = Optional.of(address);
-      heardMs = clock.nowMs();
+      heard = clock.upper();
       sayHello();
     }
   }
@@ -236,7 +237,7 @@
       inheritance.ask();
       crashes.onConfidants(Optional.empty(), subscribers.deputies());
       quotas.onConfidants(Optional.empty(), subscribers.deputies(), subscribers.count() + 1);
-      state.confirmTargets(clock.nowMs() - duties.get().registryAgeMs());
+      state.confirmTargets(clock.upper().minusMs(duties.get().registryAgeMs()));
       subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
       return;
@@ -244,7 +245,7 @@
     ownLook.confirmTargets();
     sayHello();
     askSeeds();
-    boolean silent = clock.nowMs() - heardMs > pace.silentMs();
+    boolean silent = clock.upper().sinceMs(heard) > pace.silentMs();
     if (silent && !ownLook.isOpen()) {
       lookOneself();
     }
@@ -266,7 +267,7 @@
 
   /** The holder has missed a beat, or the store does not answer it: others may know more. */
   private void askDeputies() {
-    boolean overdue = clock.nowMs() - freshBeatMs > pace.helloMs() + BEAT_DELAY_MS;
+    boolean overdue = clock.upper().sinceMs(freshBeat) > pace.helloMs() + BEAT_DELAY_MS;
     if (duties.isEmpty() && overdue) {
       deputies.next().forEach(address -> network.send(address, hello()));
     }
@@ -276,9 +277,9 @@
     if (duties.isPresent()) {
       return;
     }
-    long nowMs = clock.nowMs();
-    configuration.onHeard(beat.configurationRevision(), nowMs - beat.configurationAgeMs());
-    terms.onHeard(beat.term(), beat.holderAddress(), nowMs - beat.termAgeMs());
+    UpperTime now = clock.upper();
+    configuration.onHeard(beat.configurationRevision(), now.minusMs(beat.configurationAgeMs()));
+    terms.onHeard(beat.term(), beat.holderAddress(), now.minusMs(beat.termAgeMs()));
   }
 
   private void reportKeyWork() {
@@ -319,21 +320,22 @@
   }
 
   private void onBeat(PeerChannel holder, FleetBeat beat) {
-    long termConfirmedMs = clock.nowMs() - beat.termAgeMs();
-    if (duties.isPresent() || !terms.onHeard(beat.term(), holder.peerAddress(), termConfirmedMs)) {
+    UpperTime now = clock.upper();
+    UpperTime confirmed = now.minusMs(beat.termAgeMs());
+    if (duties.isPresent() || !terms.onHeard(beat.term(), holder.peerAddress(), confirmed)) {
       return;
     }
     deputies.onNamed(beat.deputies());
     crashes.onConfidants(holderAddress, deputies.others());
     quotas.onConfidants(holderAddress, deputies.others(), Math.max(1, beat.processes()));
     if (Math.max(beat.termAgeMs(), beat.configurationAgeMs()) <= FRESH_MS) {
-      freshBeatMs = clock.nowMs();
+      freshBeat = clock.upper();
     }
     if (beat.registryAgeMs() <= STALE_REGISTRY_MS) {
-      heardMs = clock.nowMs();
+      heard = clock.upper();
     }
-    state.confirmTargets(clock.nowMs() - beat.registryAgeMs());
-    configuration.onHeard(beat.configurationRevision(), clock.nowMs() - beat.configurationAgeMs());
+    state.confirmTargets(now.minusMs(beat.registryAgeMs()));
+    configuration.onHeard(beat.configurationRevision(), now.minusMs(beat.configurationAgeMs()));
     if (state.current().processes() != beat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, beat.processes())));
     }
@@ -357,7 +359,7 @@
   }
 
   private void installTargets() {
-    if (clock.nowMs() - heardMs <= pace.silentMs()) {
+    if (clock.upper().sinceMs(heard) <= pace.silentMs()) {
       ownLook.close();
       List<FleetTarget> targets = view.targets().targets();
       state.update(snapshot -> snapshot.withTargets(targets));
@@ -413,7 +415,7 @@
     if (news.configuration().length > 0) {
       configuration.onNews(new StoreValue(news.configuration(), news.revision()));
     } else {
-      configuration.onHeard(news.revision(), 0);
+      configuration.onHeard(news.revision(), UpperTime.NEVER);
     }
   }
 
@@ -464,7 +466,7 @@
             configuration.revision(),
             configuration.ageMs(),
             subscribers.deputies()));
-    configuration.onHeard(hello.configurationRevision(), 0);
+    configuration.onHeard(hello.configurationRevision(), UpperTime.NEVER);
     updateProcesses();
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -24,6 +24,7 @@
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.wire.RecordCodec;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -109,7 +110,7 @@
   private boolean tellPending;
   private boolean actPending;
   private long cleanupSinceMs;
-  private long staleSinceMs = Long.MAX_VALUE;
+  private Optional<UpperTime> staleSince = Optional.empty();
   private Future<?> ticking;
 
   HolderDuties(
@@ -177,7 +178,7 @@
 
   /** Returns how long ago the store last confirmed the term; milliseconds. */
   long termAgeMs() {
-    return clock.nowMs() - termLease.confirmedMs();
+    return clock.upper().sinceMs(termLease.confirmed());
   }
 
   long registryAgeMs() {
@@ -372,7 +373,7 @@
       service.plan(follower.register(), state.current().processes(), storeAnswers, nowMs);
     }
     duties.values().forEach(service -> service.desk().setOutage(outage));
-    renewStaleTokens(nowMs);
+    renewStaleTokens();
     writeIfNeeded(nowMs);
     for (ServiceDuties service : duties.values()) {
       for (LeaseOrder order : service.desk().due(nowMs, sender::mayAsk)) {
@@ -432,18 +433,18 @@
   }
 
   /** A target that knows a higher token may know a higher term: ask before going on. */
-  private void renewStaleTokens(long nowMs) {
+  private void renewStaleTokens() {
     boolean stale = duties.values().stream().anyMatch(s -> s.desk().hasStaleTokens());
     if (!stale) {
-      staleSinceMs = Long.MAX_VALUE;
+      staleSince = Optional.empty();
       return;
     }
-    if (staleSinceMs == Long.MAX_VALUE) {
-      staleSinceMs = nowMs;
+    if (staleSince.isEmpty()) {
+      staleSince = Optional.of(clock.upper());
       log.write("token_stale", "term={}", term);
       termLease.confirm();
-    } else if (termLease.confirmedMs() >= staleSinceMs) {
-      staleSinceMs = Long.MAX_VALUE;
+    } else if (termLease.confirmed().compareTo(staleSince.get()) >= 0) {
+      staleSince = Optional.empty();
       duties.values().forEach(service -> service.desk().renewTokens());
     }
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.KeyValueStore;
 import io.cuminvalve.ports.store.ReadResult;
 import io.cuminvalve.ports.store.WatchResult;
@@ -55,8 +56,8 @@
   private boolean mustRead;
   private long answerMs = ANSWER_MS;
   private long revision;
-  private volatile long answeredMs;
-  private volatile long heardMs;
+  private volatile UpperTime answered = UpperTime.NEVER;
+  private volatile UpperTime heard = UpperTime.NEVER;
   private long newerHeardMs;
   private long newerHeardCall;
   private long newestHeard;
@@ -65,6 +66,7 @@
   private boolean resting;
   private boolean absent;
   private long sentMs;
+  private UpperTime sent = UpperTime.NEVER;
   private long waitMs;
   private Future<?> checking;
 
@@ -127,7 +129,7 @@
 
   /** Returns for how long nobody has confirmed what is known; milliseconds. */
   long ageMs() {
-    return clock.nowMs() - Math.max(answeredMs, heardMs);
+    return clock.upper().sinceMs(answered.latest(heard));
   }
 
   /** Tells whether the key did not exist when the store was asked last. */
@@ -136,7 +138,11 @@
   }
 
   private boolean isConfirmedByOthers() {
-    return newestHeard <= revision && clock.nowMs() - heardMs <= reliance.maxAgeMs().getAsLong();
+    return newestHeard <= revision && isFresh();
+  }
+
+  private boolean isFresh() {
+    return clock.upper().sinceMs(heard) <= reliance.maxAgeMs().getAsLong();
   }
 
   /** Tells whether the store need not be asked now. */
@@ -153,11 +159,11 @@
    * Learns from another process what it knows of the key.
    *
    * @param known the newest revision that it knows
-   * @param atMs when the store told it so; a time of the clock; milliseconds
+   * @param at when the store told it so; not null
    */
-  void onHeard(long known, long atMs) {
+  void onHeard(long known, UpperTime at) {
     if (known == revision) {
-      heardMs = Math.max(heardMs, atMs);
+      heard = heard.latest(at);
     } else if (known > revision && known > newestHeard) {
       newestHeard = known;
       newerHeardMs = clock.nowMs();
@@ -178,6 +184,7 @@
 
   private void call() {
     sentMs = clock.nowMs();
+    sent = clock.upper();
     waitMs = nextWaitMs();
     waiting = true;
     resting = false;
@@ -252,7 +259,7 @@
   private void noteAnswer(WatchResult result) {
     boolean waited =
         result.event() == WatchResult.Event.UNCHANGED && clock.nowMs() - sentMs >= waitMs;
-    answeredMs = Math.max(answeredMs, waited ? sentMs + waitMs : sentMs);
+    answered = answered.latest(waited ? sent.plusMs(waitMs) : sent);
     answerMs = Math.max(ANSWER_MS, answerMs / 2);
     if (result.event() != WatchResult.Event.UNCHANGED) {
       absent = result.event() == WatchResult.Event.ABSENT;
@@ -306,7 +313,6 @@
       answerMs = Math.min(MAX_ANSWER_MS, 2 * answerMs);
       return Optional.of("answer_overdue");
     }
-    boolean confirmed = nowMs - heardMs <= reliance.maxAgeMs().getAsLong();
-    return waitMs > SHORT_WAIT_MS && !confirmed ? Optional.of("unconfirmed") : Optional.empty();
+    return waitMs > SHORT_WAIT_MS && !isFresh() ? Optional.of("unconfirmed") : Optional.empty();
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
@@ -59,7 +59,7 @@
 
   /** Says how old the known targets are, if they were read here. */
   void confirmTargets() {
-    follower.ifPresent(own -> state.confirmTargets(clock.nowMs() - own.ageMs()));
+    follower.ifPresent(own -> state.confirmTargets(clock.upper().minusMs(own.ageMs())));
   }
 
   private void onTargets() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.fleet.RegistryChanges;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.fleet.TargetRegistry;
@@ -64,7 +65,7 @@
   private boolean listed;
   private long revision;
   private long epoch;
-  private long answeredMs;
+  private UpperTime answered;
   private long keepUntilMs;
   private boolean outageSeen;
   private long callNumber;
@@ -82,7 +83,7 @@
     this.clock = clock;
     this.log = log;
     this.onChange = onChange;
-    this.answeredMs = clock.nowMs();
+    this.answered = clock.upper();
     register.replaceAll(known, true);
   }
 
@@ -112,7 +113,7 @@
 
   /** Returns how old the newest answer of the registry is; milliseconds. */
   long ageMs() {
-    return clock.nowMs() - answeredMs;
+    return clock.upper().sinceMs(answered);
   }
 
   private void onListed(RegistryListing listing) {
@@ -208,13 +209,12 @@
   }
 
   private void onAnswer() {
-    long nowMs = clock.nowMs();
-    if (outageSeen && nowMs - answeredMs > OUTAGE_MS) {
-      keepUntilMs = nowMs + COMEBACK_MS;
-      log.write("registry_regained", "after_ms={}", nowMs - answeredMs);
+    if (outageSeen && ageMs() > OUTAGE_MS) {
+      keepUntilMs = clock.nowMs() + COMEBACK_MS;
+      log.write("registry_regained", "after_ms={}", ageMs());
     }
     outageSeen = false;
-    answeredMs = nowMs;
+    answered = clock.upper();
   }
 
   /** Such an entry names no target; what was known of others holds. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermKnowledge.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermKnowledge.java
@@ -1,5 +1,7 @@
 package io.cuminvalve.gateway.control;
 
+import io.cuminvalve.kernel.UpperTime;
+
 /** What this process knows of the term. For the control thread. */
 interface TermKnowledge {
 
@@ -8,10 +10,10 @@
    *
    * @param term its number; 0 if that gateway knows none
    * @param holderAddress where gateways reach the holder; empty if unknown; not null
-   * @param atMs when the store confirmed it; a time of the clock; milliseconds
+   * @param at when the store confirmed it; not null
    * @return whether it is no earlier term than the one known
    */
-  boolean onHeard(long term, String holderAddress, long atMs);
+  boolean onHeard(long term, String holderAddress, UpperTime at);
 
   /** Returns the number of the newest term known; 0 if there is none. */
   long newest();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.KeyValueStore;
 import io.cuminvalve.ports.store.LeaseResult;
 import io.cuminvalve.ports.store.ReadResult;
@@ -82,6 +83,9 @@
   /** It writes what it knows, gives the term up and takes it again: five calls. */
   private static final long FORMER_HOLDER_FIRST_MS = 1_000;
 
+  /** Two readings of one moment differ by less. */
+  private static final long SUSPENDED_MS = 50;
+
   private final KeyValueStore store;
   private final ControlThread control;
   private final MillisClock clock;
@@ -99,8 +103,9 @@
   private boolean candidate;
   private boolean holding;
   private Optional<StoreLeaseId> lease = Optional.empty();
-  private long confirmedMs;
-  private long wokenMs = Long.MIN_VALUE;
+  private UpperTime confirmed = UpperTime.NEVER;
+  private UpperTime woken = UpperTime.NEVER;
+  private long confirmedSuspendedMs;
   private Optional<Long> cameBackMs = Optional.empty();
   private boolean formerHolder;
   private boolean rewriting;
@@ -163,10 +168,10 @@
    *
    * @param heard the number of the term
    * @param peerAddress where gateways reach its holder; empty if unknown; not null
-   * @param atMs when the store confirmed it; a time of the clock; milliseconds
+   * @param at when the store confirmed it; not null
    * @return whether it is no earlier term than the one known
    */
-  public boolean onHeard(long heard, String peerAddress, long atMs) {
+  public boolean onHeard(long heard, String peerAddress, UpperTime at) {
     if (heard < follower.revision()) {
       return false;
     }
@@ -175,7 +180,7 @@
       follower.onTaken(heard);
       listener.onOtherHolder(peerAddress);
     }
-    follower.onHeard(heard, atMs);
+    follower.onHeard(heard, at);
     return true;
   }
 
@@ -217,7 +222,7 @@
    * @return false for a process that does not hold it
    */
   public boolean isOutage() {
-    return holding && clock.nowMs() - confirmedMs > OUTAGE_MS;
+    return holding && clock.upper().sinceMs(confirmed) > OUTAGE_MS;
   }
 
   /** Another process has proved that it holds a later term. */
@@ -246,15 +251,15 @@
   /**
    * Returns when the store last confirmed the term.
    *
-   * @return a time of the clock; milliseconds
+   * @return never null
    */
-  public long confirmedMs() {
-    return confirmedMs;
+  public UpperTime confirmed() {
+    return confirmed;
   }
 
   /** This host was suspended: others may hold the term by now. Asks the store at once. */
   public void onWoken() {
-    wokenMs = clock.nowMs();
+    woken = clock.upper();
     if (holding) {
       keepOrLose();
     }
@@ -266,7 +271,14 @@
    * @return false for a process that does not hold it
    */
   public boolean isConfirmedSinceWaking() {
-    return holding && confirmedMs >= wokenMs;
+    boolean sleptSince = suspendedMs() - confirmedSuspendedMs >= SUSPENDED_MS;
+    return holding && !sleptSince && confirmed.compareTo(woken) >= 0;
+  }
+
+  /** Returns how much the upper bound of the clock is ahead of the lower one. */
+  private long suspendedMs() {
+    UpperTime upper = clock.upper();
+    return upper.ms() - clock.nowMs();
   }
 
   private void onWatched(WatchResult result) {
@@ -337,12 +349,12 @@
 
   private void apply() {
     if (candidate && !closed && !holding) {
-      long sentMs = clock.nowMs();
-      store.createLease(TTL_MS).thenAcceptAsync(result -> onLeaseCreated(result, sentMs), control);
+      UpperTime sent = clock.upper();
+      store.createLease(TTL_MS).thenAcceptAsync(result -> onLeaseCreated(result, sent), control);
     }
   }
 
-  private void onLeaseCreated(LeaseResult result, long sentMs) {
+  private void onLeaseCreated(LeaseResult result, UpperTime sent) {
     if (!candidate || closed) {
       result.lease().ifPresent(store::endLease);
       return;
@@ -354,13 +366,13 @@
     StoreLeaseId created = result.lease().get();
     store
         .write(KEY, codec.encode(ownNote), KeyValueStore.ABSENT, Optional.of(created))
-        .thenAcceptAsync(written -> onWritten(written, created, sentMs), control);
+        .thenAcceptAsync(written -> onWritten(written, created, sent), control);
   }
 
-  private void onWritten(WriteResult written, StoreLeaseId created, long sentMs) {
+  private void onWritten(WriteResult written, StoreLeaseId created, UpperTime sent) {
     switch (written.outcome()) {
-      case DONE -> gain(written.revision(), created, sentMs);
-      case UNKNOWN -> store.read(KEY).thenAcceptAsync(r -> onReadBack(r, created, sentMs), control);
+      case DONE -> gain(written.revision(), created, sent);
+      case UNKNOWN -> store.read(KEY).thenAcceptAsync(r -> onReadBack(r, created, sent), control);
       case CONFLICT -> {
         candidate = false;
         store.endLease(created);
@@ -376,10 +388,10 @@
   }
 
   /** A write without an answer is looked up, never guessed. */
-  private void onReadBack(ReadResult result, StoreLeaseId created, long sentMs) {
+  private void onReadBack(ReadResult result, StoreLeaseId created, UpperTime sent) {
     Optional<StoreValue> ours = result.value().filter(this::isOurs);
     if (ours.isPresent()) {
-      gain(ours.get().revision(), created, sentMs);
+      gain(ours.get().revision(), created, sent);
     } else if (result.value().isPresent()) {
       candidate = false;
       store.endLease(created);
@@ -398,7 +410,7 @@
     }
   }
 
-  private void gain(long term, StoreLeaseId created, long sentMs) {
+  private void gain(long term, StoreLeaseId created, UpperTime sent) {
     candidate = false;
     if (closed || holding) {
       store.endLease(created);
@@ -409,7 +421,8 @@
     follower.onTaken(term);
     follower.close();
     lease = Optional.of(created);
-    confirmedMs = sentMs;
+    confirmed = sent;
+    confirmedSuspendedMs = suspendedMs();
     log.write("term_gained", "term={}", term);
     listener.onGained(term);
     control.schedule(this::keepRepeatedly, KEEP_MS);
@@ -424,7 +437,7 @@
   }
 
   private void keepOrLose() {
-    if (clock.nowMs() - confirmedMs > graceMs) {
+    if (clock.upper().sinceMs(confirmed) > graceMs) {
       lose("not_confirmed");
     } else {
       keep();
@@ -433,16 +446,20 @@
 
   private void keep() {
     StoreLeaseId kept = lease.orElseThrow();
-    long sentMs = clock.nowMs();
-    store.keepAlive(kept).thenAcceptAsync(outcome -> onKept(kept, outcome, sentMs), control);
+    UpperTime sent = clock.upper();
+    long suspendedMs = suspendedMs();
+    store
+        .keepAlive(kept)
+        .thenAcceptAsync(outcome -> onKept(kept, outcome, sent, suspendedMs), control);
   }
 
-  private void onKept(StoreLeaseId kept, StoreOutcome outcome, long sentMs) {
+  private void onKept(StoreLeaseId kept, StoreOutcome outcome, UpperTime sent, long suspendedMs) {
     if (!holding || !lease.equals(Optional.of(kept))) {
       return;
     }
     if (outcome == StoreOutcome.DONE) {
-      confirmedMs = Math.max(confirmedMs, sentMs);
+      confirmed = confirmed.latest(sent);
+      confirmedSuspendedMs = Math.max(confirmedSuspendedMs, suspendedMs);
       if (closed) {
         lose("stopping");
       }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -299,7 +299,7 @@
             nowMs - call.arrivedMs(),
             known.configuration().map(RoutingConfiguration::version).orElse(0L),
             known.ownersVersion(),
-            nowMs - services.state().targetsConfirmedMs(),
+            services.clock().upper().sinceMs(services.state().targetsConfirmed()),
             why);
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
@@ -13,7 +14,7 @@
 
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private volatile RoutingSnapshot snapshot;
-  private volatile long targetsConfirmedMs;
+  private volatile UpperTime targetsConfirmed = UpperTime.NEVER;
 
   /**
    * Creates the state of a process that knows nothing.
@@ -46,19 +47,19 @@
   /**
    * Notes that the targets known were those of the registry at a time.
    *
-   * @param atMs the time; milliseconds
+   * @param at the time; not null
    */
-  public void confirmTargets(long atMs) {
-    targetsConfirmedMs = atMs;
+  public void confirmTargets(UpperTime at) {
+    targetsConfirmed = at;
   }
 
   /**
    * Returns when the targets known were last those of the registry.
    *
-   * @return a time of the clock, 0 if never; milliseconds
+   * @return {@link UpperTime#NEVER} if they never were; never null
    */
-  public long targetsConfirmedMs() {
-    return targetsConfirmedMs;
+  public UpperTime targetsConfirmed() {
+    return targetsConfirmed;
   }
 
   /**
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.WatchResult;
 import io.cuminvalve.testkit.time.VirtualClock;
 import io.cuminvalve.testkit.time.VirtualExecutor;
@@ -74,7 +75,7 @@
     confirmFor(3_000);
     store.silenceWaitingCalls();
     store.put((byte) 2);
-    follower.onHeard(2, 0);
+    follower.onHeard(2, UpperTime.NEVER);
     clock.advance(BEAT_MS);
     assertThat(follower.revision()).isEqualTo(2);
   }
@@ -84,12 +85,12 @@
     confirmFor(3_000);
     store.silenceWaitingCalls();
     store.put((byte) 2);
-    follower.onHeard(2, 0);
+    follower.onHeard(2, UpperTime.NEVER);
     clock.advance(BEAT_MS);
     store.silenceWaitingCalls();
     store.put((byte) 3);
     for (long ms = 0; ms < MAX_AGE_MS + BEAT_MS; ms += BEAT_MS) {
-      follower.onHeard(1, clock.nowMs());
+      follower.onHeard(1, clock.upper());
       clock.advance(BEAT_MS);
     }
     assertThat(follower.revision()).isEqualTo(3);
@@ -142,7 +143,7 @@
     relyOnOthers();
     final int calls = store.waits().size();
     store.put((byte) 2);
-    follower.onHeard(2, 0);
+    follower.onHeard(2, UpperTime.NEVER);
     clock.advance(0);
     assertThat(follower.revision()).isEqualTo(2);
     confirmFor(3_000);
@@ -166,7 +167,7 @@
   void newsThatTheStoreDoesNotConfirmAreForgotten() {
     relyOnOthers();
     final int calls = store.waits().size();
-    follower.onHeard(9, 0);
+    follower.onHeard(9, UpperTime.NEVER);
     clock.advance(1_000);
     assertThat(store.waits().size() - calls).isAtMost(2);
   }
@@ -204,7 +205,7 @@
   /** The holder confirms again and again what this one knows. */
   private void confirmFor(long durationMs) {
     for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
-      follower.onHeard(follower.revision(), clock.nowMs());
+      follower.onHeard(follower.revision(), clock.upper());
       clock.advance(BEAT_MS);
     }
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -131,7 +131,7 @@
       confirm(follower, 3_000);
       clock.advance(phase);
       // The holder's own knowledge is at least a short wait and an answer old.
-      follower.onHeard(follower.revision(), clock.nowMs() - 504);
+      follower.onHeard(follower.revision(), clock.upper().minusMs(504));
       one.setAnswerMs(60_000);
       one.put((byte) 2);
       clock.advance(1);
@@ -174,7 +174,7 @@
       clock.advance(1_000);
       int before = ofOther.calls();
       for (long ms = 0; ms < 60_000; ms += BEAT_MS) {
-        other.onHeard(holder.revision(), clock.nowMs() - holder.ageMs());
+        other.onHeard(holder.revision(), clock.upper().minusMs(holder.ageMs()));
         clock.advance(BEAT_MS);
       }
       worst = Math.max(worst, ofOther.calls() - before);
@@ -353,7 +353,7 @@
 
   private void confirm(KeyFollower follower, long durationMs) {
     for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
-      follower.onHeard(follower.revision(), clock.nowMs());
+      follower.onHeard(follower.revision(), clock.upper());
       clock.advance(BEAT_MS);
     }
   }
--- a/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/SuspensionClock.java
+++ b/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/SuspensionClock.java
@@ -4,13 +4,14 @@
 import java.util.function.LongSupplier;
 
 /**
- * A monotonic clock that also counts the time for which the host was suspended.
+ * A monotonic clock whose upper bound also counts the time for which the host was suspended.
  *
  * <p>The steady clock of a process stands still while its host is suspended, the time of day does
  * not. So when the time of day gains on the steady clock by more than it ever drifts between two
- * readings, the host was suspended, and this clock goes on from the later moment: leases, ages and
- * deadlines have run meanwhile. An operator who sets the time of day ahead looks the same, which
- * costs a renewal; set back, it changes nothing. Safe for use by several threads.
+ * readings, the host may have been suspended, and the upper bound goes on from the later moment. An
+ * operator who sets the time of day ahead looks the same: what this process believes ends sooner
+ * than it need, which costs a renewal, and nothing of others does. Steps back are not taken off
+ * again. Safe for use by several threads.
  *
  * @since 0.2
  */
@@ -34,7 +35,7 @@
    * Creates a clock on those of the system.
    *
    * @param onSuspended hears for how long the host was suspended, on the thread that reads the
-   *     clock first; must not block; milliseconds; not null
+   *     upper bound first; must not block; milliseconds; not null
    * @return never null
    */
   public static SuspensionClock system(LongConsumer onSuspended) {
@@ -57,7 +58,16 @@
   }
 
   @Override
-  public synchronized long nowMs() {
+  public long nowMs() {
+    return steadyMs.getAsLong();
+  }
+
+  @Override
+  public synchronized UpperTime upper() {
+    return new UpperTime(readUpperMs());
+  }
+
+  private long readUpperMs() {
     long beforeMs = steadyMs.getAsLong();
     for (int i = 0; i < MOST_READINGS; i++) {
       long wallMs = timeOfDayMs.getAsLong();
