Send a request that two targets ended under to one target at a time

Cause: copies of a request that ends its targets come in bursts, at all gateways. The third target got all that came before its end was known: five or six, each broken off.

Change: from the second crash in a row until an answer, or the quarantine after the third one, the holder gives leave for one copy at a time; others are refused with 503 and 0.3 s. Without an answer of the holder one is sent after 3 s. One that broke off is not sent to another target.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
@@ -2,6 +2,8 @@
 
 import io.cuminvalve.core.protocol.CrashNews;
 import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.protocol.TrialPermit;
+import io.cuminvalve.core.protocol.TrialRequest;
 import io.cuminvalve.core.quarantine.CrashLedger;
 import io.cuminvalve.core.quarantine.CrashReport;
 import io.cuminvalve.core.quarantine.CrashedRun;
@@ -53,12 +55,17 @@
   /** Seen by this gateway itself and kept for a holder to come; the oldest go first. */
   private static final int MOST_SEEN = 64;
 
+  /** A permit is used within a second, and half a second later everybody knows how it went. */
+  private static final long TRIAL_MS = 1_500;
+
   private final CrashLedger ledger;
   private final RequestQuarantine quarantine;
   private final Audience audience;
   private final MillisClock clock;
   private final DecisionLog log;
   private final Set<RequestFingerprint> seen = new LinkedHashSet<>();
+  private final Map<RequestFingerprint, Long> trialsUntilMs = new HashMap<>();
+  private Optional<String> holder = Optional.empty();
   private Set<String> confidants = Set.of();
   private Set<RequestFingerprint> watched = Set.of();
   private long keptDigest;
@@ -144,6 +151,31 @@
     }
   }
 
+  /** This gateway has a request that is watched. */
+  void onTrialWanted(RequestFingerprint fingerprint) {
+    if (audience.isHolder()) {
+      onTrialRequest(fingerprint, permit -> quarantine.permitTrial(fingerprint));
+    } else {
+      holder.ifPresent(address -> audience.tell(address, new TrialRequest(fingerprint)));
+    }
+  }
+
+  /** A gateway asks this one, the holder: one at a time gets leave. */
+  void onTrialRequest(RequestFingerprint fingerprint, Consumer<FleetMessage> sender) {
+    long nowMs = clock.nowMs();
+    trialsUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
+    if (!audience.isHolder() || trialsUntilMs.containsKey(fingerprint)) {
+      return;
+    }
+    trialsUntilMs.put(fingerprint, nowMs + TRIAL_MS);
+    sender.accept(new TrialPermit(fingerprint));
+  }
+
+  /** The holder gives leave to this gateway. */
+  void onTrialPermit(RequestFingerprint fingerprint) {
+    quarantine.permitTrial(fingerprint);
+  }
+
   /** Another process says which requests it watches, in short. */
   void onDigest(long digest, Consumer<FleetMessage> sender) {
     if (digest != digest()) {
@@ -162,9 +194,10 @@
   }
 
   /** The holder and its deputies, as known now: new ones hear what this gateway saw itself. */
-  void onConfidants(Optional<String> holder, Collection<String> deputies) {
+  void onConfidants(Optional<String> holderAddress, Collection<String> deputies) {
+    holder = holderAddress;
     Set<String> now = new LinkedHashSet<>(deputies);
-    holder.ifPresent(now::add);
+    holderAddress.ifPresent(now::add);
     Set<String> added = new LinkedHashSet<>(now);
     added.removeAll(confidants);
     confidants = now;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashLink.java
@@ -3,6 +3,9 @@
 import io.cuminvalve.core.protocol.CrashNews;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.protocol.PeerMessage;
+import io.cuminvalve.core.protocol.TrialPermit;
+import io.cuminvalve.core.protocol.TrialRequest;
 import io.cuminvalve.core.quarantine.CrashLedger;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.traffic.TrafficReports;
@@ -52,6 +55,9 @@
     reports
         .quarantine()
         .onAnswered(fingerprint -> control.execute(() -> desk.onAnswered(fingerprint)));
+    reports
+        .quarantine()
+        .onTrialWanted(fingerprint -> control.execute(() -> desk.onTrialWanted(fingerprint)));
   }
 
   /** This gateway holds the term now. */
@@ -75,8 +81,15 @@
     desk.onDigest(hello.crashDigest(), sender::send);
   }
 
-  void onNews(PeerChannel sender, CrashNews news) {
-    desk.onNews(news, sender::send);
+  /** Takes a message, if it is about requests under which targets end. */
+  void onMessage(PeerChannel sender, PeerMessage message) {
+    if (message instanceof CrashNews news) {
+      desk.onNews(news, sender::send);
+    } else if (message instanceof TrialRequest request) {
+      desk.onTrialRequest(request.fingerprint(), sender::send);
+    } else if (message instanceof TrialPermit permit) {
+      desk.onTrialPermit(permit.fingerprint());
+    }
   }
 
   /** The holder, unless it is this gateway, and its deputies are these. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -3,7 +3,6 @@
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.protocol.ConfigurationNews;
-import io.cuminvalve.core.protocol.CrashNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
@@ -211,8 +210,6 @@
         || message instanceof TargetTimesReport
         || message instanceof TargetReplaced) {
       duties.ifPresent(d -> d.onReport(message));
-    } else if (message instanceof CrashNews news) {
-      crashes.onNews(sender, news);
     } else if (message instanceof FleetBeat beat) {
       onBeat(sender, beat);
     } else if (message instanceof FollowerBeat beat) {
@@ -228,6 +225,7 @@
     } else if (message instanceof RoutesChange change) {
       onRoutesChange(change);
     } else {
+      crashes.onMessage(sender, message);
       quotas.onMessage(sender, message);
     }
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestQuarantine.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestQuarantine.java
@@ -25,6 +25,7 @@
   private final MillisClock clock;
   private final Map<RequestFingerprint, Long> trialEndsMs = new HashMap<>();
   private final RecentAnswers answers = new RecentAnswers();
+  private final SuspectTrials suspects;
   private volatile Map<RequestFingerprint, Long> untilMs = Map.of();
   private volatile Set<RequestFingerprint> watched = Set.of();
   private volatile Consumer<RequestFingerprint> onAnswered = fingerprint -> {};
@@ -36,6 +37,7 @@
    */
   public RequestQuarantine(MillisClock clock) {
     this.clock = clock;
+    this.suspects = new SuspectTrials(clock);
   }
 
   /**
@@ -52,6 +54,25 @@
     }
     untilMs = Map.copyOf(nextUntilMs);
     watched = Set.copyOf(nextWatched);
+    suspects.retain(watched);
+  }
+
+  /**
+   * Sets who asks the holder of the term for leave to send a request that is watched.
+   *
+   * @param listener called on any thread; must not block; not null
+   */
+  public void onTrialWanted(Consumer<RequestFingerprint> listener) {
+    suspects.onWanted(listener);
+  }
+
+  /**
+   * The holder gives leave to send one request that is watched.
+   *
+   * @param fingerprint the request's; not null
+   */
+  public void permitTrial(RequestFingerprint fingerprint) {
+    suspects.permit(fingerprint);
   }
 
   /**
@@ -84,12 +105,12 @@
 
   /**
    * Decides on a request that has just arrived. The first one after a quarantine is let through as
-   * a trial; others wait for how it goes.
+   * a trial; others wait for how it goes. One that is watched is sent when the holder lets it.
    *
    * @return for how long it is sent to no target; milliseconds, 0 if it may be sent
    */
   long admit(RequestIdentity identity) {
-    if (untilMs.isEmpty()) {
+    if (watched.isEmpty() && untilMs.isEmpty()) {
       return 0;
     }
     long refusedMs = refusedForMs(identity);
@@ -98,10 +119,18 @@
         : Math.max(tryOne(identity.content()), tryOne(identity.contentAndCaller()));
   }
 
-  private synchronized long tryOne(RequestFingerprint fingerprint) {
-    if (!untilMs.containsKey(fingerprint)) {
-      return 0;
+  private boolean isSuspect(RequestFingerprint fingerprint) {
+    return watched.contains(fingerprint) && !untilMs.containsKey(fingerprint);
+  }
+
+  private long tryOne(RequestFingerprint fingerprint) {
+    if (isSuspect(fingerprint)) {
+      return suspects.take(fingerprint);
     }
+    return untilMs.containsKey(fingerprint) ? tryAfterQuarantine(fingerprint) : 0;
+  }
+
+  private synchronized long tryAfterQuarantine(RequestFingerprint fingerprint) {
     long leftMs = leftMs(trialEndsMs.get(fingerprint));
     if (leftMs == 0) {
       trialEndsMs.put(fingerprint, clock.nowMs() + TRIAL_MS);
@@ -128,7 +157,10 @@
   long refusedForMsAfterBreak(RequestIdentity identity) {
     Map<RequestFingerprint, Long> known = untilMs;
     boolean tried =
-        known.containsKey(identity.content()) || known.containsKey(identity.contentAndCaller());
+        known.containsKey(identity.content())
+            || known.containsKey(identity.contentAndCaller())
+            || isSuspect(identity.content())
+            || isSuspect(identity.contentAndCaller());
     return tried ? Math.max(TRIAL_MS, refusedForMs(identity)) : 0;
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashDeskTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashDeskTest.java
@@ -68,6 +68,22 @@
     }
   }
 
+  /** Copies come in bursts at all gateways; one at a time may show whether it is to blame. */
+  @Test
+  void trialsOfWatchedRequestsAreGivenOneByOne() {
+    CrashFleet fleet = new CrashFleet(20, new Random(8));
+    crash(fleet, 1, DEADLY);
+    fleet.run(1_000);
+    crash(fleet, 2, DEADLY);
+    fleet.run(1_000);
+    for (int i = 0; i < 30; i++) {
+      fleet.wantTrials(CONTENT);
+      fleet.run(100);
+    }
+    assertThat(fleet.permits()).isAtLeast(1);
+    assertThat(fleet.permits()).isAtMost(3);
+  }
+
   @Test
   void theNextHolderTellsGatewaysThatHaveJustStarted() {
     CrashFleet fleet = new CrashFleet(20, new Random(3));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RequestQuarantineTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RequestQuarantineTest.java
@@ -89,6 +89,43 @@
     assertThat(quarantine.lastAnsweredMs(samePlace).isEmpty()).isTrue();
   }
 
+  /** Guards against bursts of copies that all reach the third target before it ends. */
+  @Test
+  void watchedRequestsAreSentOneByOne() {
+    List<RequestFingerprint> wanted = new ArrayList<>();
+    quarantine.onTrialWanted(wanted::add);
+    quarantine.install(Map.of(), Set.of(CONTENT));
+    for (int copy = 0; copy < 5; copy++) {
+      assertThat(quarantine.admit(ONE)).isGreaterThan(0L);
+      assertThat(quarantine.admit(TWO)).isGreaterThan(0L);
+    }
+    assertThat(wanted).containsExactly(CONTENT);
+    quarantine.permitTrial(CONTENT);
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+    assertThat(quarantine.admit(TWO)).isGreaterThan(0L);
+    assertThat(quarantine.refusedForMsAfterBreak(ONE)).isGreaterThan(0L);
+    quarantine.install(Map.of(), Set.of());
+    assertThat(quarantine.admit(TWO)).isEqualTo(0);
+  }
+
+  @Test
+  void permitsThatAreNotUsedRunOut() {
+    quarantine.install(Map.of(), Set.of(CONTENT));
+    quarantine.admit(ONE);
+    quarantine.permitTrial(CONTENT);
+    clock.advance(SuspectTrials.PERMIT_MS);
+    assertThat(quarantine.admit(ONE)).isGreaterThan(0L);
+  }
+
+  @Test
+  void withoutAnAnswerOfTheHolderOneIsSentAfterWhile() {
+    quarantine.install(Map.of(), Set.of(CONTENT));
+    assertThat(quarantine.admit(ONE)).isGreaterThan(0L);
+    clock.advance(SuspectTrials.ALONE_MS);
+    assertThat(quarantine.admit(ONE)).isEqualTo(0);
+    assertThat(quarantine.admit(ONE)).isGreaterThan(0L);
+  }
+
   private void install(RequestFingerprint fingerprint, long forMs) {
     quarantine.install(Map.of(fingerprint, clock.nowMs() + forMs), Set.of(fingerprint));
   }
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -54,6 +54,8 @@
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.core.protocol.TrialPermit;
+import io.cuminvalve.core.protocol.TrialRequest;
 import java.util.Map;
 
 /**
@@ -119,7 +121,9 @@
           type(50, CrashNews.class),
           type(51, LimitNews.class),
           type(52, QuotaRequest.class),
-          type(53, QuotaReply.class));
+          type(53, QuotaReply.class),
+          type(54, TrialRequest.class),
+          type(55, TrialPermit.class));
 
   private PeerMessageTypes() {}
 
