Let schedules find a suspension that is not counted

Cause: with suspensions left out of the clock the schedules found nothing: in the model a holder that met a higher token stopped, where the program asks the store first and goes on without an answer. Change: in schedules with clocks and suspensions the model does as the program does.

--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
@@ -49,6 +49,7 @@
   private final HostClock clock;
   private Optional<UpperTime> lostAt = Optional.empty();
   private boolean confirmed = true;
+  private boolean goesOnWhenStale;
   private long tokenCount;
   private String unreachable = "";
   private long reachableAtMs;
@@ -129,6 +130,11 @@
     lostAt = Optional.of(clock.upper());
   }
 
+  /** A holder that meets higher tokens asks the store first: without an answer it goes on. */
+  void goOnWhenStale() {
+    goesOnWhenStale = true;
+  }
+
   /** Learns that another run answers at the address of a target. */
   void onGone(TargetId id) {
     gone.add(id);
@@ -156,9 +162,8 @@
     for (LeaseDesk desk : desks.values()) {
       desk.due(clock.nowMs(), target -> true).forEach(order -> send(desk, order));
     }
-    if (desks.values().stream().anyMatch(LeaseDesk::hasStaleTokens)) {
-      stopped = true;
-    }
+    boolean stale = desks.values().stream().anyMatch(LeaseDesk::hasStaleTokens);
+    stopped |= stale && (storeReachable || !goesOnWhenStale);
   }
 
   private boolean isGraceOver() {
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseWorld.java
@@ -115,6 +115,9 @@
   private LeaseHolder addHolder() {
     LeaseHolder holder =
         new LeaseHolder(holders.size() + 1, time, fleet, network, store, waitsForLostMoves);
+    if (clockFaults) {
+      holder.goOnWhenStale();
+    }
     holders.add(holder);
     return holder;
   }
