--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
@@ -160,7 +160,7 @@
     }
   }
 
-  /** A gateway asks this one, the holder: one at a time gets leave. */
+  /** A gateway asks this one, the holder: one at a time gets a permit. */
   void onTrialRequest(RequestFingerprint fingerprint, Consumer<FleetMessage> sender) {
     long nowMs = clock.nowMs();
     trialsUntilMs.values().removeIf(untilMs -> untilMs <= nowMs);
@@ -171,7 +171,7 @@
     sender.accept(new TrialPermit(fingerprint));
   }
 
-  /** The holder gives leave to this gateway. */
+  /** The holder permits this gateway one trial. */
   void onTrialPermit(RequestFingerprint fingerprint) {
     quarantine.permitTrial(fingerprint);
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestQuarantine.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestQuarantine.java
@@ -58,7 +58,7 @@
   }
 
   /**
-   * Sets who asks the holder of the term for leave to send a request that is watched.
+   * Sets who asks the holder of the term for a permit to send a request that is watched.
    *
    * @param listener called on any thread; must not block; not null
    */
@@ -67,7 +67,7 @@
   }
 
   /**
-   * The holder gives leave to send one request that is watched.
+   * The holder permits one request that is watched to be sent.
    *
    * @param fingerprint the request's; not null
    */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SuspectTrials.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SuspectTrials.java
@@ -12,8 +12,8 @@
  * quarantine.
  *
  * <p>Copies come in bursts, at many gateways, and all that are sent before the next target ends end
- * there as well. The holder of the term gives leave for one at a time. Without an answer of it one
- * is sent after a while. Safe for use by several threads.
+ * there as well. The holder of the term permits one at a time. Without an answer of it one is sent
+ * after a while. Safe for use by several threads.
  */
 final class SuspectTrials {
 
@@ -53,7 +53,7 @@
     }
   }
 
-  /** Takes leave to send one. Returns for how long it is held back, 0 if it may be sent. */
+  /** Uses a permit to send one. Returns for how long it is held back, 0 if it may be sent. */
   long take(RequestFingerprint fingerprint) {
     boolean asks;
     synchronized (this) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -240,7 +240,7 @@
     gateways = count;
   }
 
-  /** Takes leave to send one request. Asks the holder if there is none left. */
+  /** Uses a permit to send one request. Asks the holder if none is left. */
   boolean take(FleetTarget target, int priority) {
     if (!anyLimit) {
       return true;
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashFleet.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/CrashFleet.java
@@ -194,7 +194,7 @@
         .forEach(member -> member.desk.onTrialWanted(fingerprint));
   }
 
-  /** Returns how often a gateway was given leave for a trial. */
+  /** Returns how often a gateway was permitted a trial. */
   int permits() {
     return permits;
   }
