Decode what targets say in their answers once, in the adapter, and log it

Cause: header fields of answers were read by name in two places, others by nobody, and nothing told that they came. Change: AnswerFormat decodes all of them into TargetSignals; lines for leaving, rest and odd values; fields that nobody reads are counted, and written once a name. Nothing is done about leaving and rest yet.

--- a/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/PlatformWordsTest.java
+++ b/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/PlatformWordsTest.java
@@ -24,6 +24,8 @@
           "X-Not-Executed",
           "X-Response-Signature",
           "X-Handover",
+          "Server-Limit",
+          "Server-Leaving",
           "/v1/kv-",
           "op/config",
           "\"servers/",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.cuminvalve.gateway.observe.MetricsPage;
 import io.cuminvalve.gateway.observe.RequestMetrics;
 import io.cuminvalve.gateway.observe.StoreCallMetrics;
+import io.cuminvalve.gateway.observe.UnknownFields;
 import io.cuminvalve.gateway.traffic.GatewayServer;
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
@@ -49,7 +50,8 @@
   private final DecisionLog log = new DecisionLog(clock, LOG_LINES_PER_SECOND, Logger::info);
   private final RequestMetrics metrics = new RequestMetrics();
   private final StoreCallMetrics storeCalls = new StoreCallMetrics();
-  private final MetricsPage page = new MetricsPage(metrics, storeCalls, log);
+  private final UnknownFields unknownFields = new UnknownFields(log);
+  private final MetricsPage page = new MetricsPage(metrics, storeCalls, unknownFields, log);
   private final RoutingState state = new RoutingState(ASSUMED_PROCESSES);
   private final ControlThread control = new ControlThread("control", FailureHandler.logging());
   private final GatewayServer server;
@@ -68,12 +70,22 @@
     this.settings = settings;
     StoreCalls guard =
         new StoreCalls(clock, storeCalls, new SplittableRandom(), this::longestStorePauseMs);
+    GatewayPorts guarded = ports.apply(guard);
     this.server =
         new GatewayServer(
-            settings, state, clock, log, metrics, page, this::isReady, () -> stopping);
+            settings,
+            state,
+            clock,
+            log,
+            metrics,
+            guarded.answers(),
+            unknownFields,
+            page,
+            this::isReady,
+            () -> stopping);
     this.fleet =
         new FleetControl(
-            ports.apply(guard), settings, sharedKey, state, control, clock, log, server.reports());
+            guarded, settings, sharedKey, state, control, clock, log, server.reports());
   }
 
   private long longestStorePauseMs() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewayPorts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewayPorts.java
@@ -15,6 +15,7 @@
  *     not null
  * @param registry where targets announce themselves; not null
  * @param leases gives orders to targets; not null
+ * @param answers reads what targets say in their answers; not null
  * @since 0.2
  */
 public record GatewayPorts(
@@ -22,4 +23,5 @@
     String configurationKey,
     Function<byte[], RoutingConfiguration> configurationDecoder,
     TargetRegistry registry,
-    LeaseControl leases) {}
+    LeaseControl leases,
+    AnswerDecoder answers) {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
@@ -30,6 +30,7 @@
 
   private final RequestMetrics requests;
   private final StoreCallMetrics storeCalls;
+  private final UnknownFields unknownFields;
   private final DecisionLog log;
   private final Map<String, Gauge> gauges = new TreeMap<>();
 
@@ -38,11 +39,17 @@
    *
    * @param requests counts requests; not null
    * @param storeCalls counts calls of the store; not null
+   * @param unknownFields counts fields of answers that nobody reads; not null
    * @param log counts decisions; not null
    */
-  public MetricsPage(RequestMetrics requests, StoreCallMetrics storeCalls, DecisionLog log) {
+  public MetricsPage(
+      RequestMetrics requests,
+      StoreCallMetrics storeCalls,
+      UnknownFields unknownFields,
+      DecisionLog log) {
     this.requests = requests;
     this.storeCalls = storeCalls;
+    this.unknownFields = unknownFields;
     this.log = log;
   }
 
@@ -72,6 +79,12 @@
             "cuminvalve_given_up", "Requests given up, by reason.", "reason", requests.givenUp()));
     all.metricSnapshot(
         counter("cuminvalve_events", "Decisions, by event of the log.", "event", log.counts()));
+    all.metricSnapshot(
+        counter(
+            "cuminvalve_unknown_answer_fields",
+            "Header fields of targets' answers that nobody reads, by name.",
+            "field",
+            unknownFields.counts()));
     gauges.forEach((name, gauge) -> all.metricSnapshot(gauge.snapshot(name)));
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -13,7 +13,7 @@
  *
  * @param state what routing knows; not null
  * @param dispatcher gives slots; not null
- * @param quotas knows the limits that targets name; not null
+ * @param signals reads what targets say in their answers; not null
  * @param client talks to targets; not null
  * @param budgets bound repeats; not null
  * @param quarantine tells what must not be sent; not null
@@ -29,7 +29,7 @@
 record ExchangeServices(
     RoutingState state,
     Dispatcher dispatcher,
-    TargetQuotas quotas,
+    SignalReader signals,
     TargetClient client,
     RepeatBudgets budgets,
     RequestQuarantine quarantine,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -1,10 +1,12 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.gateway.AnswerDecoder;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.observe.MetricsPage;
 import io.cuminvalve.gateway.observe.RequestMetrics;
+import io.cuminvalve.gateway.observe.UnknownFields;
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.MillisClock;
@@ -66,6 +68,8 @@
    * @param clock the time; not null
    * @param log takes decisions; not null
    * @param metrics counts requests; not null
+   * @param answers reads what targets say; not null
+   * @param unknownFields counts what nobody reads; not null
    * @param page what is counted, as text; not null
    * @param ready whether callers may be sent here; not null
    * @param stopping whether this process is about to end; not null
@@ -76,6 +80,8 @@
       MillisClock clock,
       DecisionLog log,
       RequestMetrics metrics,
+      AnswerDecoder answers,
+      UnknownFields unknownFields,
       MetricsPage page,
       BooleanSupplier ready,
       BooleanSupplier stopping) {
@@ -96,7 +102,7 @@
         new ExchangeServices(
             state,
             dispatcher,
-            quotas,
+            new SignalReader(answers, quotas, unknownFields, log),
             client,
             new RepeatBudgets(settings, clock),
             quarantine,
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SignalReader.java
@@ -0,0 +1,58 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.TargetSignals;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.gateway.AnswerDecoder;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.observe.UnknownFields;
+import io.cuminvalve.router.target.TargetAnswer;
+
+/**
+ * Reads what targets say in the heads of their answers, and hands it on to those whom it concerns.
+ *
+ * <p>Safe for use by several threads.
+ */
+final class SignalReader {
+
+  private final AnswerDecoder decoder;
+  private final TargetQuotas quotas;
+  private final UnknownFields unknownFields;
+  private final DecisionLog log;
+
+  SignalReader(
+      AnswerDecoder decoder, TargetQuotas quotas, UnknownFields unknownFields, DecisionLog log) {
+    this.decoder = decoder;
+    this.quotas = quotas;
+    this.unknownFields = unknownFields;
+    this.log = log;
+  }
+
+  /** Reads the head of an answer; nothing is done about it yet. */
+  TargetSignals read(TargetAnswer answer) {
+    return decoder.decode(answer.status(), answer.headers());
+  }
+
+  /**
+   * Takes what a target says.
+   *
+   * @param target the run that answered; not null
+   * @param signals what it says; not null
+   * @param sentMs when its request was sent; a time of the clock; milliseconds
+   */
+  void onAnswer(TargetId target, TargetSignals signals, long sentMs) {
+    unknownFields.onAnswer(signals.unknownFields(), target);
+    for (TargetSignals.Kind kind : signals.unreadable()) {
+      log.write("target_signal_unreadable", "target={} signal={}", target, kind);
+    }
+    if (!signals.unreadable().contains(TargetSignals.Kind.LIMIT)) {
+      quotas.onAnswer(target, signals.limitPerS(), sentMs);
+    }
+    if (signals.leaving()) {
+      log.write("target_says_it_leaves", "target={}", target);
+    }
+    if (signals.restMs().isPresent()) {
+      log.write(
+          "target_asks_for_rest", "target={} rest_ms={}", target, signals.restMs().getAsLong());
+    }
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -1,7 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.fleet.FleetTarget;
-import io.cuminvalve.gateway.RequestHeaders;
+import io.cuminvalve.core.fleet.TargetSignals;
 import io.cuminvalve.router.target.TargetAnswer;
 import io.cuminvalve.router.target.TargetExchange;
 import io.cuminvalve.router.target.TargetListener;
@@ -39,7 +39,6 @@
   /** Answers are kept whole before they are passed on; larger ones are cut off. */
   private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
-  private static final int MISDIRECTED = 421;
   private static final int FIRST_ERROR_STATUS = 500;
 
   private final ExchangeServices services;
@@ -128,32 +127,32 @@
 
   @Override
   public void onAnswer(TargetAnswer answer) {
-    RequestHeaders names = services.headers();
-    HttpFields headers = answer.headers();
-    boolean notExecuted = headers.contains(names.notExecuted()) || answer.status() == MISDIRECTED;
-    String echoed = headers.get(names.attemptId());
-    boolean ours = call.attemptId().equals(echoed) || (notExecuted && echoed == null);
-    if (!ours || headers.contains(HttpHeader.CONTENT_ENCODING)) {
+    TargetSignals signals = services.signals().read(answer);
+    if (!isOurs(signals) || answer.headers().contains(HttpHeader.CONTENT_ENCODING)) {
       exchange.abandon("the answer belongs to another request");
       fail(true, "foreign_answer");
       return;
     }
-    if (!isFromOtherTarget(headers)) {
-      services.quotas().onAnswer(slot.target().id(), headers.get(names.targetLimit()), sentMs);
+    if (!signals.isFromOtherThan(slot.target().id().name())) {
+      services.signals().onAnswer(slot.target().id(), signals, sentMs);
     }
     Content.Source.asByteArrayAsync(answer.body(), MAX_ANSWER_BYTES)
-        .whenComplete((body, cut) -> onWhole(answer, notExecuted, body, cut));
+        .whenComplete((body, cut) -> onWhole(answer, signals, body, cut));
   }
 
-  private void onWhole(TargetAnswer answer, boolean notExecuted, byte[] body, Throwable cut) {
+  private boolean isOurs(TargetSignals signals) {
+    return signals.attemptId().map(call.attemptId()::equals).orElse(signals.notExecuted());
+  }
+
+  private void onWhole(TargetAnswer answer, TargetSignals signals, byte[] body, Throwable cut) {
     if (cut != null) {
       exchange.abandon("the answer was cut");
       onBroken();
       fail(true, "cut_answer");
       return;
     }
-    if (notExecuted) {
-      noteOtherTarget(answer.headers());
+    if (signals.notExecuted()) {
+      noteOtherTarget(signals);
       end = AttemptEnd.FAILED;
       if (ended.compareAndSet(false, true)) {
         listener.onNotExecuted(this, answer.status());
@@ -173,18 +172,13 @@
   }
 
   /** Its address may belong to another target by now: then nothing more may go there. */
-  private void noteOtherTarget(HttpFields headers) {
-    if (isFromOtherTarget(headers)) {
+  private void noteOtherTarget(TargetSignals signals) {
+    if (signals.isFromOtherThan(slot.target().id().name())) {
       services.dispatcher().onReplaced(slot.target().id());
       services.witness().onEnded(slot.target().id());
     }
   }
 
-  private boolean isFromOtherTarget(HttpFields headers) {
-    String answering = headers.get(services.headers().answeringTarget());
-    return answering != null && !answering.equals(slot.target().id().name());
-  }
-
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     if (handedOver) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -22,7 +22,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
-import java.util.regex.Pattern;
 
 /**
  * The limits that targets name in their answers, and what this gateway may send to such targets.
@@ -33,9 +32,6 @@
  */
 public final class TargetQuotas {
 
-  /** Decimal digits only: no sign, no exponent, nothing that other parsers read otherwise. */
-  private static final Pattern LIMIT = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?|\\.\\d{1,9}");
-
   /** Pause between two lines on the requests that this gateway sent to a target with a limit. */
   private static final long REPORT_MS = 4_000;
 
@@ -88,16 +84,11 @@
    * Takes an answer of a target.
    *
    * @param target the run of the target; not null
-   * @param named what it says of a limit; null if nothing
+   * @param perS the limit that it names; requests a second; empty if none
    * @param sentMs when its request was sent; a time of the clock; milliseconds
    */
-  void onAnswer(TargetId target, String named, long sentMs) {
-    if (named == null && !anyLimit) {
-      return;
-    }
-    OptionalDouble perS = parse(named);
-    if (named != null && perS.isEmpty()) {
-      log.write("target_limit_unreadable", "target={} length={}", target, named.length());
+  void onAnswer(TargetId target, OptionalDouble perS, long sentMs) {
+    if (perS.isEmpty() && !anyLimit) {
       return;
     }
     boolean news;
@@ -114,13 +105,6 @@
     }
   }
 
-  private static OptionalDouble parse(String named) {
-    String text = named == null ? "" : named.strip();
-    return LIMIT.matcher(text).matches()
-        ? OptionalDouble.of(Double.parseDouble(text))
-        : OptionalDouble.empty();
-  }
-
   /**
    * Takes what another process knows.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
@@ -43,7 +43,8 @@
   private final RoutingState state = new RoutingState(1);
   private final ConfigurationWatch watch =
       new ConfigurationWatch(
-          new GatewayPorts(store, "configuration", ConfigurationWatchTest::decode, null, null),
+          new GatewayPorts(
+              store, "configuration", ConfigurationWatchTest::decode, null, null, null),
           state,
           control,
           clock,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -81,7 +81,7 @@
 
   private void look(boolean registryAnswers) {
     GatewayPorts ports =
-        new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null);
+        new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null, null);
     DecisionLog log = new DecisionLog(() -> 0, 100, line -> {});
     FirstLook look = new FirstLook(ports, control, log, codec, new Findings());
     control.execute(look::readOwners);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -191,7 +191,7 @@
     store.put((byte) 1);
     ConfigurationWatch watch =
         new ConfigurationWatch(
-            new GatewayPorts(store, "configuration", WaitBoundsTest::decode, null, null),
+            new GatewayPorts(store, "configuration", WaitBoundsTest::decode, null, null, null),
             new RoutingState(1),
             control,
             clock,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/observe/MetricsPageTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/observe/MetricsPageTest.java
@@ -12,7 +12,8 @@
   private final RequestMetrics requests = new RequestMetrics();
   private final DecisionLog log = new DecisionLog(() -> 0, 1, line -> {});
   private final StoreCallMetrics storeCalls = new StoreCallMetrics();
-  private final MetricsPage page = new MetricsPage(requests, storeCalls, log);
+  private final MetricsPage page =
+      new MetricsPage(requests, storeCalls, new UnknownFields(log), log);
 
   @Test
   void requestsAreCountedByRouteAndOutcome() {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -195,7 +196,7 @@
   private void limit(TargetId target, String perS) {
     quotas.onAsk(questions::add);
     nowMs++;
-    quotas.onAnswer(target, perS, nowMs);
+    quotas.onAnswer(target, OptionalDouble.of(Double.parseDouble(perS)), nowMs);
   }
 
   private void fill() {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/QuotaTraffic.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/QuotaTraffic.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.router.request.Timers;
+import java.util.OptionalDouble;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -40,6 +41,8 @@
 
   /** Takes an answer that names a limit, or none if it is null. */
   public void onAnswer(FleetTarget target, String limit, long sentMs) {
-    quotas.onAnswer(target.id(), limit, sentMs);
+    OptionalDouble perS =
+        limit == null ? OptionalDouble.empty() : OptionalDouble.of(Double.parseDouble(limit));
+    quotas.onAnswer(target.id(), perS, sentMs);
   }
 }
