Leave targets alone for the rest that they ask for

What callers saw: a tenth of two kinds of request refused for nine seconds, offered again and again to four targets that wanted rest. Cause: nobody read Retry-After of a target's 503; a refused request asked the same owner again after 40 ms. Change: TargetRests keeps, for each run of a target, until when this gateway leaves it alone, by the clock that never counts too much time. The dispatcher places nothing there: requests for other targets go elsewhere, those of its keys are refused at once with the rest that is left, also those that wait in the queue or for a connection. Afterwards one request goes first, at another moment at each gateway. Gateways tell the holder, which moves the keys away if most gateways leave the owner alone, unless most owners rest.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
@@ -42,6 +42,8 @@
 
   private static final String LIMITED = "target_limited";
 
+  private static final String RESTING = "target_resting";
+
   private final ExchangeProfile profile;
   private final BooleanSupplier budget;
   private boolean done;
@@ -116,6 +118,16 @@
     return done ? List.of() : end(LIMITED, retryAfterMs);
   }
 
+  /**
+   * Targets that may run it have asked for rest.
+   *
+   * @param retryAfterMs when the first rest is over; milliseconds
+   * @return what to do; never null
+   */
+  public List<ExchangeEffect> onResting(long retryAfterMs) {
+    return done ? List.of() : end(RESTING, retryAfterMs);
+  }
+
   /**
    * The target answered, whole: the request ran.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -16,6 +16,7 @@
 import io.cuminvalve.core.protocol.RoutesPush;
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetReplaced;
+import io.cuminvalve.core.protocol.TargetRest;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
@@ -208,7 +209,8 @@
       inheritance.onLeasesLeft(left);
     } else if (message instanceof KeyLoadReport
         || message instanceof TargetTimesReport
-        || message instanceof TargetReplaced) {
+        || message instanceof TargetReplaced
+        || message instanceof TargetRest) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
       onBeat(sender, beat);
@@ -283,6 +285,9 @@
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
     reports.takeReplacedTargets().forEach(this::report);
+    reports
+        .restsMs()
+        .forEach((target, ms) -> report(new TargetRest(settings.process(), target, ms)));
   }
 
   private void reportTargetTimes() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -15,6 +15,7 @@
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetReplaced;
+import io.cuminvalve.core.protocol.TargetRest;
 import io.cuminvalve.core.protocol.TargetTime;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.route.RoutingConfiguration;
@@ -87,6 +88,7 @@
   private final Audience audience;
   private final boolean storeCameBack;
   private final Function<TargetId, OptionalDouble> limits;
+  private final RestingOwners resting;
   private final RegistryFollower follower;
   private final OwnershipStore ownership;
   private final OrderSender sender;
@@ -137,6 +139,7 @@
     this.audience = audience;
     this.storeCameBack = storeCameBack;
     this.limits = limits;
+    this.resting = new RestingOwners(clock, () -> state.current().processes());
     this.startedMs = clock.nowMs();
     this.follower =
         new RegistryFollower(
@@ -195,6 +198,8 @@
       times.times().forEach(this::onTargetTime);
     } else if (report instanceof TargetReplaced replaced) {
       onReplacedTarget(replaced.target());
+    } else if (report instanceof TargetRest rest) {
+      resting.onRest(rest);
     }
   }
 
@@ -424,7 +429,7 @@
       follower.register().of(id).forEach(target -> desk.onRestarted(target.id()));
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
-    return new ServiceDuties(id, desk, log, limits, clock.nowMs());
+    return new ServiceDuties(id, desk, log, limits, resting::shareThatMaySend, clock.nowMs());
   }
 
   private long nextToken() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -29,12 +29,13 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Decides for one service which target is to own which keys.
  *
- * <p>Keys of targets that leave are spread at once; otherwise load is evened out at a pace. All
- * methods are for the control thread.
+ * <p>Keys of targets that leave, or rest, are spread at once; otherwise load is evened out at a
+ * pace. All methods are for the control thread.
  */
 final class ServiceDuties {
 
@@ -62,6 +63,9 @@
   /** Narrower ranges with less load are given away whole: each part is a lease. */
   private static final int WIDE_KEYS = 1_024;
 
+  /** Keys leave an owner to which at most this part of the gateways may send requests. */
+  private static final double RESTING_SHARE = 0.5;
+
   private static final double HEAVY_LOAD = 0.4;
 
   /** Requests that a target takes at once for each of its slots, those in its queue included. */
@@ -72,6 +76,7 @@
   private final DecisionLog log;
   private final KeyLoads loads;
   private final TargetSpeeds speeds = new TargetSpeeds();
+  private final ToDoubleFunction<TargetId> reachableShares;
   private final LimitCapacity capacity;
   private final Set<TargetId> busy = new HashSet<>();
   private final RangeTidier tidier = new RangeTidier();
@@ -91,11 +96,13 @@
       LeaseDesk desk,
       DecisionLog log,
       Function<TargetId, OptionalDouble> limits,
+      ToDoubleFunction<TargetId> reachableShares,
       long nowMs) {
     this.service = service;
     this.desk = desk;
     this.log = log;
     this.loads = new KeyLoads(LOAD_MEMORY_MS, nowMs);
+    this.reachableShares = reachableShares;
     this.capacity = new LimitCapacity(limits);
     this.startedMs = nowMs;
     this.targetsChangedMs = nowMs;
@@ -157,12 +164,13 @@
       partition(ready, nowMs);
       return;
     }
-    evacuate(ready, nowMs);
+    List<FleetTarget> usable = storeAnswers ? withoutResting(ready) : ready;
+    evacuate(usable, nowMs);
     if (nowMs - balancedMs >= BALANCE_MS) {
       balancedMs = nowMs;
       loads.decay(nowMs);
       desk.joinNeighbours(nowMs);
-      List<TargetLoad> targets = targetLoads(ready, nowMs);
+      List<TargetLoad> targets = targetLoads(usable, nowMs);
       if (storeAnswers) {
         balance(targets, nowMs);
       }
@@ -189,6 +197,18 @@
     }
   }
 
+  /**
+   * Leaves out targets that most gateways leave alone: their keys are refused until they move. If
+   * most targets rest, there is too much load for the service, and no better place for keys.
+   */
+  private List<FleetTarget> withoutResting(List<FleetTarget> ready) {
+    List<FleetTarget> reachable =
+        ready.stream()
+            .filter(target -> reachableShares.applyAsDouble(target.id()) > RESTING_SHARE)
+            .toList();
+    return 2 * reachable.size() >= ready.size() ? reachable : ready;
+  }
+
   /** Gives the keys of targets that leave, or have left, to the least busy of the others. */
   private void evacuate(List<FleetTarget> ready, long nowMs) {
     Set<TargetId> usable = new HashSet<>();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -53,6 +52,9 @@
   /** Costs differ by up to this share at random, so that gateways do not all choose the same. */
   private static final double SPREAD = 0.2;
 
+  /** Requests wait for the end of a rest that is shorter. */
+  private static final long SHORT_REST_MS = 50;
+
   /** Weight of the newest answer in the mean time of a route. */
   private static final double NEWEST = 0.05;
 
@@ -61,6 +63,7 @@
   private final MillisClock clock;
   private final RandomGenerator random;
   private final TargetQuotas quotas;
+  private final TargetRests rests;
   private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
   private final Map<ServiceId, PriorityQueue<PlacementWish>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeByRouteMs = new HashMap<>();
@@ -74,20 +77,23 @@
       DataCentreId dataCentre,
       MillisClock clock,
       RandomGenerator random,
-      TargetQuotas quotas) {
+      TargetQuotas quotas,
+      TargetRests rests) {
     this.state = state;
     this.dataCentre = dataCentre;
     this.clock = clock;
     this.random = random;
     this.quotas = quotas;
+    this.rests = rests;
     state.onChange(this::onRoutingChanged);
     quotas.onUsable(this::serveWaiting);
+    rests.onOver(this::serveWaiting);
   }
 
   /** Places a request now, or as soon as it can be; refuses one that waits in vain. */
   void submit(PlacementWish wish) {
     Optional<Slot> slot;
-    Optional<QuotaRefusal> refusal = Optional.empty();
+    Optional<TargetRefusal> refusal = Optional.empty();
     synchronized (this) {
       RoutingSnapshot snapshot = state.current();
       wish.setOrder(nextOrder++);
@@ -100,7 +106,7 @@
       }
     }
     slot.ifPresent(wish::placed);
-    refusal.ifPresent(wish::limited);
+    refusal.ifPresent(wish::refused);
   }
 
   /** Tells whether a request has to be refused at once: its owner cannot bear all of its kind. */
@@ -140,6 +146,9 @@
     if (!range.get().open()) {
       return "key_on_the_move";
     }
+    if (rests.leftMs(range.get().owner()) > 0) {
+      return "owner_resting";
+    }
     if (quotas.isLimited(range.get().owner())) {
       return "limit_unanswered";
     }
@@ -158,6 +167,14 @@
     serveWaiting(slot.target().service());
   }
 
+  /** A target has asked for rest: afterwards it gets one request first, then slowly more. */
+  void onRest(FleetTarget target) {
+    synchronized (this) {
+      slotsOf(target, state.current()).onRest();
+    }
+    serveWaiting(target.service());
+  }
+
   /** Another target answers at the address of this one: it has ended, whatever is registered. */
   synchronized void onReplaced(TargetId target) {
     if (replaced.add(target)) {
@@ -216,7 +233,7 @@
   /** Looks at those that wait once more, for example because a pause is over. */
   void serveWaiting(ServiceId service) {
     Map<PlacementWish, Slot> placed = new HashMap<>();
-    Map<PlacementWish, QuotaRefusal> refused = new HashMap<>();
+    Map<PlacementWish, TargetRefusal> refused = new HashMap<>();
     synchronized (this) {
       PriorityQueue<PlacementWish> queue = waiting.get(service);
       if (queue == null || queue.isEmpty()) {
@@ -225,19 +242,19 @@
       placeFrom(queue, placed, refused);
     }
     placed.forEach(PlacementWish::placed);
-    refused.forEach(PlacementWish::limited);
+    refused.forEach(PlacementWish::refused);
   }
 
   private void placeFrom(
       PriorityQueue<PlacementWish> queue,
       Map<PlacementWish, Slot> placed,
-      Map<PlacementWish, QuotaRefusal> refused) {
+      Map<PlacementWish, TargetRefusal> refused) {
     RoutingSnapshot snapshot = state.current();
     List<PlacementWish> left = new ArrayList<>();
     while (!queue.isEmpty()) {
       PlacementWish wish = queue.poll();
       Optional<Slot> slot = tryPlace(wish, snapshot);
-      Optional<QuotaRefusal> refusal =
+      Optional<TargetRefusal> refusal =
           slot.isPresent() ? Optional.empty() : refusalOf(wish, snapshot);
       if (slot.isPresent()) {
         placed.put(wish, slot.get());
@@ -280,7 +297,7 @@
   }
 
   /** Tells whether nothing that may run the request takes it before it would have waited long. */
-  private Optional<QuotaRefusal> refusalOf(PlacementWish wish, RoutingSnapshot snapshot) {
+  private Optional<TargetRefusal> refusalOf(PlacementWish wish, RoutingSnapshot snapshot) {
     List<FleetTarget> targets =
         wish.key().isPresent()
             ? usableOwnerOf(wish, snapshot).stream().toList()
@@ -289,16 +306,29 @@
     FleetTarget first = null;
     long firstMs = Long.MAX_VALUE;
     for (FleetTarget target : targets) {
-      OptionalLong refusedForMs = quotas.refusedForMs(target.id(), priority);
-      if (refusedForMs.isEmpty()) {
+      long refusedForMs = refusedForMs(target.id(), priority);
+      if (refusedForMs == 0) {
         return Optional.empty();
       }
-      if (refusedForMs.getAsLong() < firstMs) {
+      if (refusedForMs < firstMs) {
         first = target;
-        firstMs = refusedForMs.getAsLong();
+        firstMs = refusedForMs;
       }
     }
-    return Optional.ofNullable(first).map(target -> quotas.refuse(target.id(), priority));
+    return Optional.ofNullable(first).map(target -> refuse(target.id(), priority));
+  }
+
+  private long refusedForMs(TargetId target, int priority) {
+    long restMs = rests.leftMs(target);
+    return Math.max(
+        restMs > SHORT_REST_MS ? restMs : 0, quotas.refusedForMs(target, priority).orElse(0));
+  }
+
+  private TargetRefusal refuse(TargetId target, int priority) {
+    long restMs = rests.leftMs(target);
+    return restMs > SHORT_REST_MS
+        ? TargetRefusal.forRest(target, restMs)
+        : quotas.refuse(target, priority);
   }
 
   private static List<FleetTarget> untried(PlacementWish wish, RoutingSnapshot snapshot) {
@@ -359,7 +389,9 @@
   }
 
   private boolean hasRoom(FleetTarget target, RoutingSnapshot snapshot) {
-    return !replaced.contains(target.id()) && slotsOf(target, snapshot).hasRoom();
+    return !replaced.contains(target.id())
+        && rests.leftMs(target.id()) == 0
+        && slotsOf(target, snapshot).hasRoom();
   }
 
   private TargetSlots slotsOf(FleetTarget target, RoutingSnapshot snapshot) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -14,6 +14,7 @@
  * @param state what routing knows; not null
  * @param dispatcher gives slots; not null
  * @param signals reads what targets say in their answers; not null
+ * @param rests tells which targets are left alone; not null
  * @param client talks to targets; not null
  * @param budgets bound repeats; not null
  * @param quarantine tells what must not be sent; not null
@@ -30,6 +31,7 @@
     RoutingState state,
     Dispatcher dispatcher,
     SignalReader signals,
+    TargetRests rests,
     TargetClient client,
     RepeatBudgets budgets,
     RequestQuarantine quarantine,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -84,21 +84,30 @@
   }
 
   @Override
-  public void onLimited(QuotaRefusal refusal) {
+  public void onRefused(TargetRefusal refusal) {
     patience.cancel();
     countUnservedWork();
+    if (refusal.cause() == TargetRefusal.Cause.REST) {
+      logRefusal("request_held_off", refusal, "");
+      decide(() -> machine.onResting(refusal.retryAfterMs()));
+    } else {
+      logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
+      decide(() -> machine.onLimited(refusal.retryAfterMs()));
+    }
+  }
+
+  private void logRefusal(String event, TargetRefusal refusal, String limit) {
     services
         .log()
         .write(
-            "request_limited",
-            "id={} service={} key={} target={} limit_per_s={} retry_after_ms={}",
+            event,
+            "id={} service={} key={} target={}{} retry_after_ms={}",
             call.attemptId(),
             call.service(),
             call.key().isPresent() ? call.key().getAsInt() : "-",
             refusal.target(),
-            refusal.limitPerS(),
+            limit,
             refusal.retryAfterMs());
-    decide(() -> machine.onLimited(refusal.retryAfterMs()));
   }
 
   /** Ends a request that may be sent to no target; that may come up while it waits. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -93,16 +93,19 @@
             address -> Integer.MAX_VALUE);
     KeyWorkMeter keyWork = new KeyWorkMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
+    TargetRests rests = new TargetRests(clock, timers, random.split(), log);
     Dispatcher dispatcher =
         new Dispatcher(
-            state, new DataCentreId(settings.dataCentre()), clock, random.split(), quotas);
+            state, new DataCentreId(settings.dataCentre()), clock, random.split(), quotas, rests);
+    rests.onBegin(dispatcher::onRest);
     RequestQuarantine quarantine = new RequestQuarantine(clock);
     CrashWitness witness = new CrashWitness(state, probe, timers, clock);
     ExchangeServices services =
         new ExchangeServices(
             state,
             dispatcher,
-            new SignalReader(answers, quotas, unknownFields, log),
+            new SignalReader(answers, quotas, rests, unknownFields, log),
+            rests,
             client,
             new RepeatBudgets(settings, clock),
             quarantine,
@@ -114,7 +117,7 @@
             log,
             metrics,
             stopping);
-    this.reports = new TrafficReports(keyWork, dispatcher, quotas, quarantine, witness);
+    this.reports = new TrafficReports(keyWork, dispatcher, quotas, rests, quarantine, witness);
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress());
@@ -135,6 +138,10 @@
         "cuminvalve_limited_targets",
         "Targets that name how many requests a second they take from all gateways together.",
         quotas::size);
+    page.addGauge(
+        "cuminvalve_resting_targets",
+        "Targets that have asked this gateway for rest.",
+        () -> rests.all().size());
   }
 
   /** Few connections: one thread accepts and reads them. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PlacementWish.java
@@ -18,7 +18,7 @@
     void onPlaced(Slot slot);
 
     /** There will be none in time: targets take no more for now. */
-    void onLimited(QuotaRefusal refusal);
+    void onRefused(TargetRefusal refusal);
   }
 
   private final Route route;
@@ -102,7 +102,7 @@
     listener.onPlaced(slot);
   }
 
-  void limited(QuotaRefusal refusal) {
-    listener.onLimited(refusal);
+  void refused(TargetRefusal refusal) {
+    listener.onRefused(refusal);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SignalReader.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SignalReader.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetSignals;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.gateway.AnswerDecoder;
@@ -16,13 +17,19 @@
 
   private final AnswerDecoder decoder;
   private final TargetQuotas quotas;
+  private final TargetRests rests;
   private final UnknownFields unknownFields;
   private final DecisionLog log;
 
   SignalReader(
-      AnswerDecoder decoder, TargetQuotas quotas, UnknownFields unknownFields, DecisionLog log) {
+      AnswerDecoder decoder,
+      TargetQuotas quotas,
+      TargetRests rests,
+      UnknownFields unknownFields,
+      DecisionLog log) {
     this.decoder = decoder;
     this.quotas = quotas;
+    this.rests = rests;
     this.unknownFields = unknownFields;
     this.log = log;
   }
@@ -35,11 +42,12 @@
   /**
    * Takes what a target says.
    *
-   * @param target the run that answered; not null
+   * @param answering the run that answered; not null
    * @param signals what it says; not null
    * @param sentMs when its request was sent; a time of the clock; milliseconds
    */
-  void onAnswer(TargetId target, TargetSignals signals, long sentMs) {
+  void onAnswer(FleetTarget answering, TargetSignals signals, long sentMs) {
+    TargetId target = answering.id();
     unknownFields.onAnswer(signals.unknownFields(), target);
     for (TargetSignals.Kind kind : signals.unreadable()) {
       log.write("target_signal_unreadable", "target={} signal={}", target, kind);
@@ -50,9 +58,6 @@
     if (signals.leaving()) {
       log.write("target_says_it_leaves", "target={}", target);
     }
-    if (signals.restMs().isPresent()) {
-      log.write(
-          "target_asks_for_rest", "target={} rest_ms={}", target, signals.restMs().getAsLong());
-    }
+    signals.restMs().ifPresent(restMs -> rests.ask(answering, restMs));
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -53,6 +53,9 @@
   private volatile AttemptEnd end = AttemptEnd.GIVEN_UP;
   private volatile long sentMs;
 
+  /** Not sent, since the target asked for rest while the attempt waited for a connection. */
+  private volatile boolean held;
+
   TargetAttempt(
       ExchangeServices services,
       CallerRequest call,
@@ -121,6 +124,10 @@
     if (ended.get() || remainingMs <= 0) {
       return false;
     }
+    if (services.rests().leftMs(slot.target().id()) > 0) {
+      held = true;
+      return false;
+    }
     headers.put(services.headers().deadlineMs(), remainingMs);
     return handover.begin();
   }
@@ -134,7 +141,7 @@
       return;
     }
     if (!signals.isFromOtherThan(slot.target().id().name())) {
-      services.signals().onAnswer(slot.target().id(), signals, sentMs);
+      services.signals().onAnswer(slot.target(), signals, sentMs);
     }
     Content.Source.asByteArrayAsync(answer.body(), MAX_ANSWER_BYTES)
         .whenComplete((body, cut) -> onWhole(answer, signals, body, cut));
@@ -204,8 +211,8 @@
 
   private void fail(boolean mayHaveRun, String reason) {
     if (ended.compareAndSet(false, true)) {
-      end = AttemptEnd.NO_ANSWER;
-      listener.onFailure(this, mayHaveRun, reason);
+      end = held ? AttemptEnd.GIVEN_UP : AttemptEnd.NO_ANSWER;
+      listener.onFailure(this, mayHaveRun, held ? "target_resting" : reason);
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -299,10 +299,10 @@
   }
 
   /** Refuses a request because of a target, and promises its caller a time. */
-  synchronized QuotaRefusal refuse(TargetId target, int priority) {
+  synchronized TargetRefusal refuse(TargetId target, int priority) {
     Quota quota = quotas.get(target);
     long retryAfterMs = quota == null ? 1 : quota.share.promiseMs(priority, clock.nowMs());
-    return new QuotaRefusal(target, ledger.limitOf(target).orElse(0), retryAfterMs);
+    return TargetRefusal.forLimit(target, ledger.limitOf(target).orElse(0), retryAfterMs);
   }
 
   /** Tells whether a target names a limit. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetSlots.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetSlots.java
@@ -100,6 +100,11 @@
     failureShare += NEWEST * (1 - failureShare);
   }
 
+  /** The target has asked for rest. */
+  void onRest() {
+    limit = 1;
+  }
+
   /** Returns what was measured since the last call, if anything. */
   Optional<TargetTime> takeTime(TargetId id) {
     if (reportedAnswers == 0) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -1,9 +1,11 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.TargetReplaced;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -16,6 +18,7 @@
   private final KeyWorkMeter keyWork;
   private final Dispatcher dispatcher;
   private final TargetQuotas quotas;
+  private final TargetRests rests;
   private final RequestQuarantine quarantine;
   private final CrashWitness witness;
 
@@ -23,11 +26,13 @@
       KeyWorkMeter keyWork,
       Dispatcher dispatcher,
       TargetQuotas quotas,
+      TargetRests rests,
       RequestQuarantine quarantine,
       CrashWitness witness) {
     this.keyWork = keyWork;
     this.dispatcher = dispatcher;
     this.quotas = quotas;
+    this.rests = rests;
     this.quarantine = quarantine;
     this.witness = witness;
   }
@@ -68,6 +73,15 @@
     return new ArrayList<>(keyWork.take());
   }
 
+  /**
+   * Returns for how long this gateway still leaves targets alone that have asked for rest.
+   *
+   * @return milliseconds by target; never null
+   */
+  public Map<TargetId, Long> restsMs() {
+    return rests.all();
+  }
+
   /**
    * Takes the times of targets since the last call.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServiceDutiesTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServiceDutiesTest.java
@@ -36,6 +36,7 @@
 
   private final TargetRegister register = new TargetRegister();
   private final Map<TargetId, OptionalDouble> limits = new HashMap<>();
+  private final Map<TargetId, Double> reachableShares = new HashMap<>();
   private long tokens;
   private final LeaseDesk desk = new LeaseDesk(SERVICE, TIMINGS, () -> ++tokens);
   private final ServiceDuties duties =
@@ -44,6 +45,7 @@
           desk,
           new DecisionLog(() -> 0, 100, line -> {}),
           id -> limits.getOrDefault(id, OptionalDouble.empty()),
+          id -> reachableShares.getOrDefault(id, 1.0),
           0);
 
   @BeforeEach
@@ -93,6 +95,35 @@
     assertThat(ownersOfBusyKeys()).hasSize(2);
   }
 
+  /** Its slots are nearly idle, since no gateway sends it anything. */
+  @Test
+  void ownersThatHaveAskedAllGatewaysForRestAreRelieved() {
+    onWork(LITTLE_WORK_MS);
+    reachableShares.put(ownerOf(0), 0.0);
+    final TargetId resting = ownerOf(0);
+    duties.plan(register, 3, true, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isTrue();
+    assertThat(ownersOfBusyKeys()).doesNotContain(resting);
+  }
+
+  @Test
+  void ownersThatRestKeepTheirKeysWhileNoMoveCanBeWritten() {
+    onWork(LITTLE_WORK_MS);
+    reachableShares.put(ownerOf(0), 0.0);
+    duties.plan(register, 3, false, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isFalse();
+  }
+
+  /** That is overload: keys would only move to and fro. */
+  @Test
+  void ownersKeepTheirKeysIfMostOfThemRest() {
+    onWork(LITTLE_WORK_MS);
+    reachableShares.put(new TargetId("a"), 0.0);
+    reachableShares.put(new TargetId("b"), 0.0);
+    duties.plan(register, 3, true, SETTLED_MS + 250);
+    assertThat(desk.needsWrite()).isFalse();
+  }
+
   @Test
   void targetsWithLimitsGetFewerKeysOfThoseThatLeave() {
     register.put(target("c", TargetPhase.READY));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -46,11 +46,20 @@
             return () -> scheduled.remove(task);
           },
           new SplittableRandom(2));
+  private final TargetRests rests =
+      new TargetRests(
+          () -> nowMs,
+          (task, delayMs) -> {
+            scheduled.add(task);
+            return () -> scheduled.remove(task);
+          },
+          new SplittableRandom(3),
+          new DecisionLog(() -> nowMs, 1, line -> {}));
   private final Dispatcher dispatcher =
-      new Dispatcher(state, HERE, () -> nowMs, new SplittableRandom(1), quotas);
+      new Dispatcher(state, HERE, () -> nowMs, new SplittableRandom(1), quotas, rests);
   private final List<String> placed = new ArrayList<>();
   private final List<Slot> slots = new ArrayList<>();
-  private final Map<String, QuotaRefusal> refused = new HashMap<>();
+  private final Map<String, TargetRefusal> refused = new HashMap<>();
 
   @Test
   void requestsWithoutKeyStayInTheirDataCentre() {
@@ -193,6 +202,67 @@
     assertThat(refused.keySet()).containsExactly("one");
   }
 
+  @Test
+  void requestsForAnOwnerThatRestsAreRefusedAtOnceUntilTheRestIsOver() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    owner(NEAR, true);
+    rest(NEAR, 3_000);
+    submit("one", 1, OptionalInt.of(7));
+    assertThat(placed).isEmpty();
+    assertThat(refused.get("one").cause()).isEqualTo(TargetRefusal.Cause.REST);
+    assertThat(refused.get("one").retryAfterMs()).isIn(Range.closed(3_000L, 3_300L));
+  }
+
+  @Test
+  void requestsThatWaitForAnOwnerAreRefusedWhenItAsksForRest() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    owner(NEAR, true);
+    fill();
+    submit("waits", 1, OptionalInt.of(7));
+    assertThat(refused).isEmpty();
+    rest(NEAR, 3_000);
+    assertThat(refused).containsKey("waits");
+  }
+
+  @Test
+  void requestsWithoutKeyGoToTargetsThatDoNotRest() {
+    targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
+    rest(NEAR, 3_000);
+    submit("one", 1, OptionalInt.empty());
+    submit("two", 1, OptionalInt.empty());
+    assertThat(slots.get(0).target().id()).isEqualTo(FAR);
+    assertThat(slots.get(1).target().id()).isEqualTo(FAR);
+  }
+
+  /** What waited meanwhile must not come all at once. */
+  @Test
+  void afterItsRestTheTargetGetsOneRequestFirst() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    owner(NEAR, true);
+    rest(NEAR, 40);
+    submit("one", 1, OptionalInt.of(7));
+    submit("two", 1, OptionalInt.of(7));
+    assertThat(placed).isEmpty();
+    nowMs += 50;
+    List.copyOf(scheduled).forEach(Runnable::run);
+    assertThat(placed).containsExactly("one");
+  }
+
+  @Test
+  void anotherRunOfTheTargetHasAskedForNoRest() {
+    rest(NEAR, 3_000);
+    TargetId next = new TargetId("near-2");
+    targets(target(next, HERE, TargetPhase.READY));
+    owner(next, true);
+    submit("one", 1, OptionalInt.of(7));
+    assertThat(placed).containsExactly("one");
+  }
+
+  private void rest(TargetId target, long restMs) {
+    rests.onBegin(dispatcher::onRest);
+    rests.ask(target(target, HERE, TargetPhase.READY), restMs);
+  }
+
   private void limit(TargetId target, String perS) {
     quotas.onAsk(questions::add);
     nowMs++;
@@ -241,7 +311,7 @@
           }
 
           @Override
-          public void onLimited(QuotaRefusal refusal) {
+          public void onRefused(TargetRefusal refusal) {
             refused.put(name, refusal);
           }
         });
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetRestsTest.java
@@ -0,0 +1,79 @@
+package io.cuminvalve.gateway.traffic;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Range;
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class TargetRestsTest {
+
+  private static final ServiceId SERVICE = new ServiceId("core");
+
+  private long nowMs;
+  private final List<Runnable> scheduled = new ArrayList<>();
+  private final List<ServiceId> over = new ArrayList<>();
+  private final List<TargetId> begun = new ArrayList<>();
+  private final TargetRests rests =
+      new TargetRests(
+          () -> nowMs,
+          (task, delayMs) -> {
+            scheduled.add(task);
+            return () -> scheduled.remove(task);
+          },
+          new SplittableRandom(1),
+          new DecisionLog(() -> nowMs, 1, line -> {}));
+
+  private static FleetTarget target(String id) {
+    return new FleetTarget(
+        new TargetId(id), SERVICE, "10.0.0.1:80", new DataCentreId("dc"), 4, TargetPhase.READY, 0);
+  }
+
+  @Test
+  void restsLastAtLeastAsLongAsAsked() {
+    rests.ask(target("a"), 3_000);
+    nowMs = 2_999;
+    assertThat(rests.leftMs(new TargetId("a"))).isAtLeast(1);
+    nowMs = 3_251;
+    assertThat(rests.leftMs(new TargetId("a"))).isEqualTo(0);
+  }
+
+  @Test
+  void shorterRestsEndNoLongerOnes() {
+    rests.ask(target("a"), 3_000);
+    rests.ask(target("a"), 100);
+    assertThat(rests.leftMs(new TargetId("a"))).isIn(Range.closed(3_000L, 3_250L));
+  }
+
+  @Test
+  void restsBeginOnceAndAreOverByTheClockOnly() {
+    rests.onBegin(target -> begun.add(target.id()));
+    rests.onOver(over::add);
+    rests.ask(target("a"), 1_000);
+    rests.ask(target("a"), 1_000);
+    assertThat(begun).containsExactly(new TargetId("a"));
+    Runnable early = scheduled.remove(0);
+    nowMs = 500;
+    early.run();
+    assertThat(over).isEmpty();
+    nowMs = 1_101;
+    List.copyOf(scheduled).forEach(Runnable::run);
+    assertThat(over).contains(SERVICE);
+  }
+
+  @Test
+  void memoryIsBounded() {
+    for (int i = 0; i < TargetRests.MOST_TARGETS + 100; i++) {
+      rests.ask(target("t" + i), 10_000 + i);
+    }
+    assertThat(rests.all()).hasSize(TargetRests.MOST_TARGETS);
+  }
+}
