One exchange of digests for crashes and limits

Cause: CrashDesk and QuotaDesk had each a copy of who is told and of the comparison of digests; a third was due. Change: NewsExchange has it; FleetAudience and PeerAudience in place of the two pairs of methods in the links.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashDesk.java
@@ -28,26 +28,18 @@
  * Lets the fleet know under which requests targets end, and puts those in quarantine that end one
  * target after the other.
  *
- * <p>A request comes back at any gateway, so none of them sees enough alone. Each tells what it saw
- * to the holder of the term and its deputies, which all keep it: losing one of them loses nothing.
- * The holder tells everybody of requests under which two targets ended. Whoever notices by a hello
- * that another process watches other requests tells it all that it watches itself. For the control
- * thread.
+ * <p>A request comes back at any gateway, so none of them sees enough alone. The holder of the term
+ * and its deputies hear of every crash, everybody of requests under which two targets ended, by a
+ * {@link NewsExchange}. For the control thread.
  */
-final class CrashDesk {
+final class CrashDesk implements NewsExchange.Knowledge<CrashNews> {
 
   /** Whom a gateway tells. */
-  interface Audience {
+  interface Audience extends FleetAudience {
 
     /** Tells whether this process holds the term. */
     boolean isHolder();
 
-    /** Tells every gateway that follows this one, the holder. */
-    void tellAll(FleetMessage message);
-
-    /** Tells one process. */
-    void tell(String address, FleetMessage message);
-
     /** Keeps, as the holder, what is in quarantine for a fleet that is lost whole. */
     void keep(CrashNews quarantined);
   }
@@ -61,12 +53,11 @@
   private final CrashLedger ledger;
   private final RequestQuarantine quarantine;
   private final Audience audience;
+  private final NewsExchange<CrashNews> exchange;
   private final MillisClock clock;
   private final DecisionLog log;
   private final Set<RequestFingerprint> seen = new LinkedHashSet<>();
   private final Map<RequestFingerprint, Long> trialsUntilMs = new HashMap<>();
-  private Optional<String> holder = Optional.empty();
-  private Set<String> confidants = Set.of();
   private Set<RequestFingerprint> watched = Set.of();
   private long keptDigest;
   private Map<RequestFingerprint, Long> refused = Map.of();
@@ -81,6 +72,7 @@
     this.ledger = ledger;
     this.quarantine = quarantine;
     this.audience = audience;
+    this.exchange = new NewsExchange<>(this, audience);
     this.clock = clock;
     this.log = log;
   }
@@ -130,14 +122,14 @@
     }
     takeEffect(Set.of(), heard);
     if (news.complete()) {
-      answer(news, sender, nowMs);
+      exchange.onComplete(news, sender);
     }
   }
 
-  /** Tells what a process lacks that has told all it watches. */
-  private void answer(CrashNews news, Consumer<FleetMessage> sender, long nowMs) {
+  @Override
+  public Optional<CrashNews> lackedBy(CrashNews told) {
     Set<RequestFingerprint> lacking = new HashSet<>(watched);
-    for (CrashReport report : news.reports()) {
+    for (CrashReport report : told.reports()) {
       RequestFingerprint fingerprint = report.fingerprint();
       if (report.runs().size() >= ledger.crashesOf(fingerprint).size()) {
         lacking.remove(fingerprint);
@@ -146,9 +138,9 @@
         lacking.add(fingerprint);
       }
     }
-    if (!lacking.isEmpty()) {
-      sender.accept(new CrashNews(false, ledger.reports(lacking, nowMs)));
-    }
+    return lacking.isEmpty()
+        ? Optional.empty()
+        : Optional.of(new CrashNews(false, ledger.reports(lacking, clock.nowMs())));
   }
 
   /** This gateway has a request that is watched. */
@@ -156,7 +148,7 @@
     if (audience.isHolder()) {
       onTrialRequest(fingerprint, permit -> quarantine.permitTrial(fingerprint));
     } else {
-      holder.ifPresent(address -> audience.tell(address, new TrialRequest(fingerprint)));
+      exchange.tellHolder(new TrialRequest(fingerprint));
     }
   }
 
@@ -178,13 +170,17 @@
 
   /** Another process says which requests it watches, in short. */
   void onDigest(long digest, Consumer<FleetMessage> sender) {
-    if (digest != digest()) {
-      sender.accept(new CrashNews(true, ledger.reports(watched, clock.nowMs())));
-    }
+    exchange.onDigest(digest, sender);
+  }
+
+  @Override
+  public CrashNews complete() {
+    return new CrashNews(true, ledger.reports(watched, clock.nowMs()));
   }
 
   /** Returns what this process knows of requests that it watches, in short; 0 if of none. */
-  long digest() {
+  @Override
+  public long digest() {
     refresh();
     return watched.stream().mapToLong(this::digestOf).sum();
   }
@@ -195,12 +191,7 @@
 
   /** The holder and its deputies, as known now: new ones hear what this gateway saw itself. */
   void onConfidants(Optional<String> holderAddress, Collection<String> deputies) {
-    holder = holderAddress;
-    Set<String> now = new LinkedHashSet<>(deputies);
-    holderAddress.ifPresent(now::add);
-    Set<String> added = new LinkedHashSet<>(now);
-    added.removeAll(confidants);
-    confidants = now;
+    Set<String> added = exchange.onConfidants(holderAddress, deputies);
     if (!added.isEmpty() && !seen.isEmpty()) {
       CrashNews all = new CrashNews(false, ledger.reports(seen, clock.nowMs()));
       added.forEach(address -> audience.tell(address, all));
@@ -243,8 +234,7 @@
 
   private void tellConfidants(Set<RequestFingerprint> changed) {
     if (!changed.isEmpty()) {
-      CrashNews news = new CrashNews(false, ledger.reports(changed, clock.nowMs()));
-      confidants.forEach(address -> audience.tell(address, news));
+      exchange.tellConfidants(new CrashNews(false, ledger.reports(changed, clock.nowMs())));
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/CrashLink.java
@@ -2,7 +2,6 @@
 
 import io.cuminvalve.core.protocol.CrashNews;
 import io.cuminvalve.core.protocol.FleetHello;
-import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.TrialPermit;
 import io.cuminvalve.core.protocol.TrialRequest;
@@ -22,10 +21,8 @@
  * Connects the {@link CrashDesk} of this gateway with its traffic, the other gateways and the
  * store. For the control thread.
  */
-final class CrashLink implements CrashDesk.Audience {
+final class CrashLink extends PeerAudience implements CrashDesk.Audience {
 
-  private final PeerNetwork network;
-  private final Subscribers subscribers;
   private final ControlThread control;
   private final TrafficReports reports;
   private final CrashDesk desk;
@@ -42,8 +39,7 @@
       DecisionLog log,
       TrafficReports reports,
       CrashLedger ledger) {
-    this.network = network;
-    this.subscribers = subscribers;
+    super(network, subscribers);
     this.control = control;
     this.reports = reports;
     this.desk = new CrashDesk(ledger, reports.quarantine(), this, clock, log);
@@ -102,16 +98,6 @@
     return holder;
   }
 
-  @Override
-  public void tellAll(FleetMessage message) {
-    subscribers.tell(message);
-  }
-
-  @Override
-  public void tell(String address, FleetMessage message) {
-    network.send(address, message);
-  }
-
   @Override
   public void keep(CrashNews quarantined) {
     archive.keep(quarantined);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaDesk.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaDesk.java
@@ -21,20 +21,12 @@
  * Lets the fleet know which targets name a limit, and has the holder of the term give out what they
  * take.
  *
- * <p>A gateway that sees a limit tells the holder and its deputies, and the holder everybody, so
- * that losing any of them loses nothing. Whoever notices by a hello that another process knows
- * other limits tells it all that it knows itself. For the control thread.
+ * <p>Limits are known to all by a {@link NewsExchange}. For the control thread.
  */
-final class QuotaDesk {
+final class QuotaDesk implements NewsExchange.Knowledge<LimitNews> {
 
   /** Whom a gateway tells. */
-  interface Audience {
-
-    /** Tells every gateway that follows this one, the holder. */
-    void tellAll(FleetMessage message);
-
-    /** Tells one process. */
-    void tell(String address, FleetMessage message);
+  interface Audience extends FleetAudience {
 
     /** Returns how many gateways follow this one, the holder. */
     int followers();
@@ -51,11 +43,10 @@
   private final String process;
   private final TargetQuotas quotas;
   private final Audience audience;
+  private final NewsExchange<LimitNews> exchange;
   private final MillisClock clock;
   private final Map<String, Long> heardMs = new HashMap<>();
   private Optional<QuotaIssuer> issuer = Optional.empty();
-  private Optional<String> holder = Optional.empty();
-  private Collection<String> deputies = List.of();
   private int inheritedGateways;
   private long gainedMs;
 
@@ -63,6 +54,7 @@
     this.process = process;
     this.quotas = quotas;
     this.audience = audience;
+    this.exchange = new NewsExchange<>(this, audience);
     this.clock = clock;
   }
 
@@ -83,37 +75,27 @@
 
   /** The holder, unless it is this gateway, and its deputies are these. */
   void onConfidants(Optional<String> holderAddress, Collection<String> deputyAddresses) {
-    holder = holderAddress;
-    deputies = deputyAddresses;
+    exchange.onConfidants(holderAddress, deputyAddresses);
   }
 
   /** This gateway has seen the limits of targets begin, change or end. */
   void onSeen(List<TargetId> targets) {
-    LimitNews news = new LimitNews(false, quotas.reports(targets));
-    if (issuer.isPresent()) {
-      takeEffect(targets);
-    } else {
-      holder.ifPresent(address -> audience.tell(address, news));
-    }
-    deputies.stream()
-        .filter(address -> !address.equals(holder.orElse("")))
-        .forEach(address -> audience.tell(address, news));
+    takeEffect(targets);
+    exchange.tellConfidants(new LimitNews(false, quotas.reports(targets)));
   }
 
   /** Another process tells what it knows. */
   void onNews(LimitNews news, Consumer<FleetMessage> sender) {
     takeEffect(quotas.merge(news.reports()));
     if (news.complete()) {
-      List<LimitReport> lacking = lackedBy(news.reports());
-      if (!lacking.isEmpty()) {
-        sender.accept(new LimitNews(false, lacking));
-      }
+      exchange.onComplete(news, sender);
     }
   }
 
-  private List<LimitReport> lackedBy(List<LimitReport> told) {
+  @Override
+  public Optional<LimitNews> lackedBy(LimitNews told) {
     Map<TargetId, LimitReport> known = new HashMap<>();
-    told.forEach(report -> known.put(report.target(), report));
+    told.reports().forEach(report -> known.put(report.target(), report));
     List<LimitReport> lacking = new ArrayList<>();
     for (LimitReport own : quotas.reports()) {
       LimitReport other = known.get(own.target());
@@ -122,7 +104,7 @@
         lacking.add(own);
       }
     }
-    return lacking;
+    return lacking.isEmpty() ? Optional.empty() : Optional.of(new LimitNews(false, lacking));
   }
 
   private void takeEffect(List<TargetId> changed) {
@@ -138,22 +120,26 @@
     if (issuer.isPresent() && (heardMs.size() < MOST_GATEWAYS || heardMs.containsKey(sender))) {
       heardMs.put(sender, clock.nowMs());
     }
-    if (digest != quotas.digest()) {
-      channel.accept(new LimitNews(true, quotas.reports()));
-    }
+    exchange.onDigest(digest, channel);
   }
 
   /** Returns which limits this process knows, in short; 0 if none. */
-  long digest() {
+  @Override
+  public long digest() {
     return quotas.digest();
   }
 
+  @Override
+  public LimitNews complete() {
+    return new LimitNews(true, quotas.reports());
+  }
+
   /** This gateway has requests for a target with a limit. */
   void ask(QuotaRequest request) {
     if (issuer.isPresent()) {
       onRequest(process, request, this::onOwnReply);
     } else {
-      holder.ifPresent(address -> audience.tell(address, request));
+      exchange.tellHolder(request);
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaLink.java
@@ -1,7 +1,6 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.protocol.FleetHello;
-import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.LimitNews;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.QuotaReply;
@@ -19,10 +18,8 @@
  * Connects the {@link QuotaDesk} of this gateway with its traffic and the other gateways. For the
  * control thread.
  */
-final class QuotaLink implements QuotaDesk.Audience {
+final class QuotaLink extends PeerAudience implements QuotaDesk.Audience {
 
-  private final PeerNetwork network;
-  private final Subscribers subscribers;
   private final RoutingState state;
   private final ControlThread control;
   private final TargetQuotas quotas;
@@ -36,8 +33,7 @@
       ControlThread control,
       MillisClock clock,
       TargetQuotas quotas) {
-    this.network = network;
-    this.subscribers = subscribers;
+    super(network, subscribers);
     this.state = state;
     this.control = control;
     this.quotas = quotas;
@@ -85,19 +81,4 @@
     quotas.setGateways(gateways);
     quotas.forget(target -> state.current().target(target).isPresent());
   }
-
-  @Override
-  public void tellAll(FleetMessage message) {
-    subscribers.tell(message);
-  }
-
-  @Override
-  public void tell(String address, FleetMessage message) {
-    network.send(address, message);
-  }
-
-  @Override
-  public int followers() {
-    return subscribers.count();
-  }
 }
