Send nothing more to a target that has said in an answer that it leaves

What callers saw: requests were served by a target that was about to end, for as long as its entry in the registry said that it was ready: 12 s with the store away. Cause: only the registry was believed; nobody read Server-Leaving, in answers of requests or of orders. Change: the first gateway that hears it tells the holder and its deputies, the holder everybody (DepartureDesk, by the exchange of digests that crashes and limits use). A run that leaves counts as draining at each gateway whatever the registry says, and in the holder's register, so its keys move at once. While the store does not answer the holder no key can move: requests for such keys are refused at once, and told to come back the later the longer that lasts.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
@@ -44,6 +44,8 @@
 
   private static final String RESTING = "target_resting";
 
+  private static final String STUCK_KEY = "key_stuck";
+
   private final ExchangeProfile profile;
   private final BooleanSupplier budget;
   private boolean done;
@@ -128,6 +130,16 @@
     return done ? List.of() : end(RESTING, retryAfterMs);
   }
 
+  /**
+   * The owner of its key cannot run it, and the key cannot move for now.
+   *
+   * @param retryAfterMs when that is worth another look; milliseconds
+   * @return what to do; never null
+   */
+  public List<ExchangeEffect> onStuckKey(long retryAfterMs) {
+    return done ? List.of() : end(STUCK_KEY, retryAfterMs);
+  }
+
   /**
    * The target answered, whole: the request ran.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/FleetTarget.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/FleetTarget.java
@@ -37,6 +37,15 @@
     return phase == TargetPhase.READY;
   }
 
+  /**
+   * Returns the same target once it leaves.
+   *
+   * @return never null
+   */
+  public FleetTarget leaving() {
+    return new FleetTarget(id, service, address, dataCentre, slots, TargetPhase.DRAINING, coldMs);
+  }
+
   /**
    * Tells whether another registration says the same to everybody who routes requests.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -14,6 +14,7 @@
  * @param processorCores how many cores it may use
  * @param crashDigest tells whether both watch the same requests for crashes; 0 if it watches none
  * @param limitDigest tells whether both know the same limits of targets; 0 if it knows none
+ * @param departureDigest tells whether both know the same targets that leave; 0 if it knows none
  * @since 0.2
  */
 public record FleetHello(
@@ -26,5 +27,6 @@
     String dataCentre,
     double processorCores,
     long crashDigest,
-    long limitDigest)
+    long limitDigest,
+    long departureDigest)
     implements FleetMessage {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -21,6 +21,7 @@
 import java.util.OptionalDouble;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -59,6 +60,7 @@
   private final FleetLink link;
   private final TermLease termLease;
   private final Function<TargetId, OptionalDouble> limits;
+  private final Consumer<TargetId> onLeaving;
   private Optional<HolderDuties> duties = Optional.empty();
   private volatile boolean holdsTerm;
   private boolean storeCameBack;
@@ -92,6 +94,7 @@
     this.log = log;
     this.random = new SplittableRandom();
     this.limits = reports.quotas()::limitOf;
+    this.onLeaving = reports.departures()::onLeaving;
     this.network =
         new TcpPeerNetwork(
             new PeerNetworkSettings(
@@ -258,7 +261,8 @@
             termLease,
             link,
             storeCameBack,
-            limits);
+            limits,
+            onLeaving);
     duties = Optional.of(next);
     holdsTerm = true;
     link.setDuties(duties);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -94,6 +94,7 @@
   private final LeaseInheritance inheritance;
   private final CrashLink crashes;
   private final QuotaLink quotas;
+  private final DepartureLink departures;
   private final OwnRegistryLook ownLook;
   private final FleetView view = new FleetView();
   private Optional<HolderDuties> duties = Optional.empty();
@@ -134,6 +135,16 @@
     this.quotas =
         new QuotaLink(
             settings.process(), network, subscribers, state, control, clock, reports.quotas());
+    this.departures =
+        new DepartureLink(
+            network,
+            subscribers,
+            state,
+            control,
+            clock,
+            log,
+            reports.departures(),
+            () -> duties.ifPresent(HolderDuties::onDepartures));
     this.ownLook = new OwnRegistryLook(ports, state, control, clock, log);
     this.terms = terms;
     this.deputies = deputies;
@@ -146,6 +157,7 @@
   void start() {
     crashes.start();
     quotas.start();
+    departures.start();
     if (!settings.firstStart()) {
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
@@ -229,6 +241,7 @@
     } else {
       crashes.onMessage(sender, message);
       quotas.onMessage(sender, message);
+      departures.onMessage(sender, message);
     }
   }
 
@@ -237,6 +250,8 @@
       inheritance.ask();
       crashes.onConfidants(Optional.empty(), subscribers.deputies());
       quotas.onConfidants(Optional.empty(), subscribers.deputies(), subscribers.count() + 1);
+      departures.onConfidants(Optional.empty(), subscribers.deputies());
+      state.noteMoves(duties.get().termAgeMs() <= FRESH_MS, clock.nowMs());
       state.confirmTargets(clock.upper().minusMs(duties.get().registryAgeMs()));
       subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
@@ -313,7 +328,8 @@
         settings.processorCores(),
         configuration.revision(),
         crashes.digest(),
-        quotas.digest());
+        quotas.digest(),
+        departures.digest());
   }
 
   private void lookOneself() {
@@ -331,6 +347,8 @@
     deputies.onNamed(beat.deputies());
     crashes.onConfidants(holderAddress, deputies.others());
     quotas.onConfidants(holderAddress, deputies.others(), Math.max(1, beat.processes()));
+    departures.onConfidants(holderAddress, deputies.others());
+    state.noteMoves(beat.termAgeMs() <= FRESH_MS, clock.nowMs());
     if (Math.max(beat.termAgeMs(), beat.configurationAgeMs()) <= FRESH_MS) {
       freshBeat = clock.upper();
     }
@@ -453,6 +471,7 @@
     }
     crashes.onHello(sender, hello);
     quotas.onHello(sender, hello);
+    departures.onHello(sender, hello);
     configuration
         .lackedBy(hello.configurationRevision())
         .ifPresent(value -> sender.send(new ConfigurationNews(value.revision(), value.value())));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -43,7 +43,8 @@
       double processorCores,
       long configurationRevision,
       long crashDigest,
-      long limitDigest) {
+      long limitDigest,
+      long departureDigest) {
     return new FleetHello(
         process,
         targets.term(),
@@ -54,7 +55,8 @@
         dataCentre,
         processorCores,
         crashDigest,
-        limitDigest);
+        limitDigest,
+        departureDigest);
   }
 
   /** Notes what this process, as the holder, knows now. Returns what the others have to hear. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -37,6 +37,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.function.Consumer;
 import java.util.function.Function;
 
 /**
@@ -127,7 +128,8 @@
       TermLease termLease,
       Audience audience,
       boolean storeCameBack,
-      Function<TargetId, OptionalDouble> limits) {
+      Function<TargetId, OptionalDouble> limits,
+      Consumer<TargetId> onLeaving) {
     this.ports = ports;
     this.state = state;
     this.control = control;
@@ -158,6 +160,7 @@
             log,
             this::lastAddressOf,
             this::onReplacedTarget,
+            onLeaving,
             this::actSoon);
   }
 
@@ -296,7 +299,19 @@
     return Optional.ofNullable(lastAddresses.get(id));
   }
 
+  /** Some targets have said that they leave, whatever is registered. */
+  void onDepartures() {
+    onTargets();
+  }
+
+  private void markLeaving() {
+    for (TargetId id : state.current().leaving()) {
+      follower.register().find(id).ifPresent(known -> follower.register().put(known.leaving()));
+    }
+  }
+
   private void onTargets() {
+    markLeaving();
     noteFirstSeen();
     for (TargetId id : replacedTargets()) {
       onReplaced(id);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -31,6 +31,7 @@
   private final DecisionLog log;
   private final Function<TargetId, Optional<String>> addresses;
   private final Consumer<TargetId> onOtherTarget;
+  private final Consumer<TargetId> onLeaving;
   private final Runnable onAnswered;
   private final Map<TargetId, Integer> inFlight = new HashMap<>();
   private int totalInFlight;
@@ -43,6 +44,7 @@
       DecisionLog log,
       Function<TargetId, Optional<String>> addresses,
       Consumer<TargetId> onOtherTarget,
+      Consumer<TargetId> onLeaving,
       Runnable onAnswered) {
     this.leases = leases;
     this.control = control;
@@ -50,6 +52,7 @@
     this.log = log;
     this.addresses = addresses;
     this.onOtherTarget = onOtherTarget;
+    this.onLeaving = onLeaving;
     this.onAnswered = onAnswered;
   }
 
@@ -77,7 +80,7 @@
             .orElseGet(
                 () ->
                     CompletableFuture.completedFuture(
-                        new OrderReply(OrderOutcome.NOT_SENT, Optional.empty())));
+                        new OrderReply(OrderOutcome.NOT_SENT, Optional.empty(), false)));
     reply.thenAcceptAsync(answer -> onReply(desk, order, answer, sentMs), control);
   }
 
@@ -109,6 +112,8 @@
     }
     if (reply.outcome() == OrderOutcome.OTHER_TARGET) {
       onOtherTarget.accept(order.target());
+    } else if (reply.leaving()) {
+      onLeaving.accept(order.target());
     }
     onAnswered.run();
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -52,6 +53,11 @@
   /** Costs differ by up to this share at random, so that gateways do not all choose the same. */
   private static final double SPREAD = 0.2;
 
+  /** When the caller of a request whose key cannot move should come back. */
+  private static final long LEAST_STUCK_MS = 500;
+
+  private static final long MOST_STUCK_MS = 5_000;
+
   /** Requests wait for the end of a rest that is shorter. */
   private static final long SHORT_REST_MS = 50;
 
@@ -302,6 +308,9 @@
         wish.key().isPresent()
             ? usableOwnerOf(wish, snapshot).stream().toList()
             : untried(wish, snapshot);
+    if (targets.isEmpty()) {
+      return refusalOfStuckKey(wish, snapshot);
+    }
     int priority = wish.route().priority();
     FleetTarget first = null;
     long firstMs = Long.MAX_VALUE;
@@ -318,6 +327,20 @@
     return Optional.ofNullable(first).map(target -> refuse(target.id(), priority));
   }
 
+  /** Nobody knows when the store answers again: the longer it has not, the later. */
+  private Optional<TargetRefusal> refusalOfStuckKey(PlacementWish wish, RoutingSnapshot snapshot) {
+    OptionalLong sinceMs = state.movesHeldUpSinceMs();
+    if (wish.key().isEmpty() || sinceMs.isEmpty()) {
+      return Optional.empty();
+    }
+    long heldUpMs = clock.nowMs() - sinceMs.getAsLong();
+    long retryAfterMs = Math.max(LEAST_STUCK_MS, Math.min(MOST_STUCK_MS, heldUpMs));
+    return snapshot
+        .owners(wish.service())
+        .flatMap(owners -> owners.find(wish.key().getAsInt()))
+        .map(range -> TargetRefusal.forStuckKey(range.owner(), retryAfterMs));
+  }
+
   private long refusedForMs(TargetId target, int priority) {
     long restMs = rests.leftMs(target);
     return Math.max(
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -87,12 +87,19 @@
   public void onRefused(TargetRefusal refusal) {
     patience.cancel();
     countUnservedWork();
-    if (refusal.cause() == TargetRefusal.Cause.REST) {
-      logRefusal("request_held_off", refusal, "");
-      decide(() -> machine.onResting(refusal.retryAfterMs()));
-    } else {
-      logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
-      decide(() -> machine.onLimited(refusal.retryAfterMs()));
+    switch (refusal.cause()) {
+      case REST -> {
+        logRefusal("request_held_off", refusal, "");
+        decide(() -> machine.onResting(refusal.retryAfterMs()));
+      }
+      case STUCK_KEY -> {
+        logRefusal("request_key_stuck", refusal, "");
+        decide(() -> machine.onStuckKey(refusal.retryAfterMs()));
+      }
+      default -> {
+        logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
+        decide(() -> machine.onLimited(refusal.retryAfterMs()));
+      }
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -94,6 +94,7 @@
     KeyWorkMeter keyWork = new KeyWorkMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     TargetRests rests = new TargetRests(clock, timers, random.split(), log);
+    TargetDepartures departures = new TargetDepartures(state);
     Dispatcher dispatcher =
         new Dispatcher(
             state, new DataCentreId(settings.dataCentre()), clock, random.split(), quotas, rests);
@@ -104,7 +105,7 @@
         new ExchangeServices(
             state,
             dispatcher,
-            new SignalReader(answers, quotas, rests, unknownFields, log),
+            new SignalReader(answers, quotas, rests, departures, unknownFields, log),
             rests,
             client,
             new RepeatBudgets(settings, clock),
@@ -117,7 +118,8 @@
             log,
             metrics,
             stopping);
-    this.reports = new TrafficReports(keyWork, dispatcher, quotas, rests, quarantine, witness);
+    this.reports =
+        new TrafficReports(keyWork, dispatcher, quotas, rests, departures, quarantine, witness);
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress());
@@ -138,6 +140,10 @@
         "cuminvalve_limited_targets",
         "Targets that name how many requests a second they take from all gateways together.",
         quotas::size);
+    page.addGauge(
+        "cuminvalve_leaving_targets",
+        "Targets that have said in an answer that they leave.",
+        () -> state.current().leaving().size());
     page.addGauge(
         "cuminvalve_resting_targets",
         "Targets that have asked this gateway for rest.",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * All that routing has to know at one moment. Immutable.
@@ -19,6 +20,7 @@
 public final class RoutingSnapshot {
 
   private final Optional<RoutingConfiguration> configuration;
+  private final Set<TargetId> leaving;
   private final Map<TargetId, FleetTarget> targets;
   private final Map<ServiceId, List<FleetTarget>> readyByService;
   private final Map<ServiceId, KeyOwners> owners;
@@ -27,12 +29,14 @@
 
   private RoutingSnapshot(
       Optional<RoutingConfiguration> configuration,
+      Set<TargetId> leaving,
       Map<TargetId, FleetTarget> targets,
       Map<ServiceId, List<FleetTarget>> readyByService,
       Map<ServiceId, KeyOwners> owners,
       OwnersVersion ownersVersion,
       int processes) {
     this.configuration = configuration;
+    this.leaving = leaving;
     this.targets = targets;
     this.readyByService = readyByService;
     this.owners = owners;
@@ -48,7 +52,7 @@
    */
   public static RoutingSnapshot initial(int processes) {
     return new RoutingSnapshot(
-        Optional.empty(), Map.of(), Map.of(), Map.of(), OwnersVersion.NONE, processes);
+        Optional.empty(), Set.of(), Map.of(), Map.of(), Map.of(), OwnersVersion.NONE, processes);
   }
 
   /**
@@ -59,7 +63,7 @@
    */
   public RoutingSnapshot withConfiguration(RoutingConfiguration next) {
     return new RoutingSnapshot(
-        Optional.of(next), targets, readyByService, owners, ownersVersion, processes);
+        Optional.of(next), leaving, targets, readyByService, owners, ownersVersion, processes);
   }
 
   /**
@@ -69,15 +73,31 @@
    * @return never null
    */
   public RoutingSnapshot withTargets(List<FleetTarget> next) {
+    return with(next, leaving);
+  }
+
+  /**
+   * Returns a snapshot with other targets that have said that they leave, whatever is registered.
+   *
+   * @param next all of them; not null
+   * @return never null
+   */
+  public RoutingSnapshot withLeaving(Set<TargetId> next) {
+    return with(targets.values(), Set.copyOf(next));
+  }
+
+  private RoutingSnapshot with(Collection<FleetTarget> registered, Set<TargetId> nextLeaving) {
     Map<TargetId, FleetTarget> byId = new HashMap<>();
     Map<ServiceId, List<FleetTarget>> ready = new HashMap<>();
-    for (FleetTarget target : next) {
+    for (FleetTarget entry : registered) {
+      FleetTarget target = nextLeaving.contains(entry.id()) ? entry.leaving() : entry;
       byId.put(target.id(), target);
       if (target.isReady()) {
         ready.computeIfAbsent(target.service(), id -> new ArrayList<>()).add(target);
       }
     }
-    return new RoutingSnapshot(configuration, byId, ready, owners, ownersVersion, processes);
+    return new RoutingSnapshot(
+        configuration, nextLeaving, byId, ready, owners, ownersVersion, processes);
   }
 
   /**
@@ -89,7 +109,7 @@
    */
   public RoutingSnapshot withOwners(Map<ServiceId, KeyOwners> next, OwnersVersion version) {
     return new RoutingSnapshot(
-        configuration, targets, readyByService, Map.copyOf(next), version, processes);
+        configuration, leaving, targets, readyByService, Map.copyOf(next), version, processes);
   }
 
   /**
@@ -99,7 +119,8 @@
    * @return never null
    */
   public RoutingSnapshot withProcesses(int next) {
-    return new RoutingSnapshot(configuration, targets, readyByService, owners, ownersVersion, next);
+    return new RoutingSnapshot(
+        configuration, leaving, targets, readyByService, owners, ownersVersion, next);
   }
 
   /**
@@ -131,6 +152,15 @@
     return Optional.ofNullable(targets.get(id));
   }
 
+  /**
+   * Returns the runs of targets that have said in an answer that they leave.
+   *
+   * @return never null
+   */
+  public Set<TargetId> leaving() {
+    return leaving;
+  }
+
   /**
    * Returns all targets.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.UnaryOperator;
 
@@ -15,6 +16,7 @@
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private volatile RoutingSnapshot snapshot;
   private volatile UpperTime targetsConfirmed = UpperTime.NEVER;
+  private volatile OptionalLong movesHeldUpSinceMs = OptionalLong.empty();
 
   /**
    * Creates the state of a process that knows nothing.
@@ -62,6 +64,29 @@
     return targetsConfirmed;
   }
 
+  /**
+   * Notes whether keys can move: a move has to be written in the store first.
+   *
+   * @param possible whether the store answers the holder of the term
+   * @param nowMs the time; milliseconds
+   */
+  public void noteMoves(boolean possible, long nowMs) {
+    if (possible) {
+      movesHeldUpSinceMs = OptionalLong.empty();
+    } else if (movesHeldUpSinceMs.isEmpty()) {
+      movesHeldUpSinceMs = OptionalLong.of(nowMs);
+    }
+  }
+
+  /**
+   * Returns since when no key can move.
+   *
+   * @return a time of the clock, milliseconds; empty if keys can move
+   */
+  public OptionalLong movesHeldUpSinceMs() {
+    return movesHeldUpSinceMs;
+  }
+
   /**
    * Adds a listener, which is called on the control thread after each change.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SignalReader.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SignalReader.java
@@ -18,6 +18,7 @@
   private final AnswerDecoder decoder;
   private final TargetQuotas quotas;
   private final TargetRests rests;
+  private final TargetDepartures departures;
   private final UnknownFields unknownFields;
   private final DecisionLog log;
 
@@ -25,11 +26,13 @@
       AnswerDecoder decoder,
       TargetQuotas quotas,
       TargetRests rests,
+      TargetDepartures departures,
       UnknownFields unknownFields,
       DecisionLog log) {
     this.decoder = decoder;
     this.quotas = quotas;
     this.rests = rests;
+    this.departures = departures;
     this.unknownFields = unknownFields;
     this.log = log;
   }
@@ -56,7 +59,7 @@
       quotas.onAnswer(target, signals.limitPerS(), sentMs);
     }
     if (signals.leaving()) {
-      log.write("target_says_it_leaves", "target={}", target);
+      departures.onLeaving(target);
     }
     signals.restMs().ifPresent(restMs -> rests.ask(answering, restMs));
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
@@ -17,13 +17,19 @@
     /** It has named a limit. */
     LIMIT,
     /** It has asked this gateway for rest. */
-    REST
+    REST,
+    /** It owns the key and cannot run the request, and the key cannot move for now. */
+    STUCK_KEY
   }
 
   static TargetRefusal forLimit(TargetId target, double limitPerS, long retryAfterMs) {
     return new TargetRefusal(target, Cause.LIMIT, limitPerS, retryAfterMs);
   }
 
+  static TargetRefusal forStuckKey(TargetId target, long retryAfterMs) {
+    return new TargetRefusal(target, Cause.STUCK_KEY, 0, retryAfterMs);
+  }
+
   static TargetRefusal forRest(TargetId target, long retryAfterMs) {
     return new TargetRefusal(target, Cause.REST, 0, retryAfterMs);
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -19,6 +19,7 @@
   private final Dispatcher dispatcher;
   private final TargetQuotas quotas;
   private final TargetRests rests;
+  private final TargetDepartures departures;
   private final RequestQuarantine quarantine;
   private final CrashWitness witness;
 
@@ -27,12 +28,14 @@
       Dispatcher dispatcher,
       TargetQuotas quotas,
       TargetRests rests,
+      TargetDepartures departures,
       RequestQuarantine quarantine,
       CrashWitness witness) {
     this.keyWork = keyWork;
     this.dispatcher = dispatcher;
     this.quotas = quotas;
     this.rests = rests;
+    this.departures = departures;
     this.quarantine = quarantine;
     this.witness = witness;
   }
@@ -55,6 +58,15 @@
     return quotas;
   }
 
+  /**
+   * Returns who notices that targets leave.
+   *
+   * @return never null
+   */
+  public TargetDepartures departures() {
+    return departures;
+  }
+
   /**
    * Sets who is told of requests under which a target ended, at once.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
@@ -55,7 +55,8 @@
     hear(holder.publishTargets(5, 2, List.of(target(A), target(B))));
     assertThat(other.routes().services()).isEqualTo(holder.routes().services());
     assertThat(other.targets().targets()).containsExactly(target(A), target(B));
-    assertThat(other.hello("x", "dc", 1, 0, 0, 0)).isEqualTo(holder.hello("x", "dc", 1, 0, 0, 0));
+    assertThat(other.hello("x", "dc", 1, 0, 0, 0, 0))
+        .isEqualTo(holder.hello("x", "dc", 1, 0, 0, 0, 0));
   }
 
   @Test
@@ -78,7 +79,7 @@
   void distrustedTargetsAreAskedForAgainAndStayInUse() {
     hear(holder.publishTargets(5, 1, List.of(target(A))));
     other.distrustTargets();
-    assertThat(other.hello("x", "dc", 1, 0, 0, 0).targetsTerm()).isEqualTo(0);
+    assertThat(other.hello("x", "dc", 1, 0, 0, 0, 0).targetsTerm()).isEqualTo(0);
     assertThat(other.targets().targets()).containsExactly(target(A));
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -258,6 +259,36 @@
     assertThat(placed).containsExactly("one");
   }
 
+  /** The registry goes on to say that it is ready, and says so again later. */
+  @Test
+  void nothingGoesToTargetsThatHaveSaidThatTheyLeave() {
+    targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
+    state.update(snapshot -> snapshot.withLeaving(Set.of(NEAR)));
+    submit("one", 1, OptionalInt.empty());
+    targets(target(NEAR, HERE, TargetPhase.READY), target(FAR, THERE, TargetPhase.READY));
+    submit("two", 1, OptionalInt.empty());
+    assertThat(slots.get(0).target().id()).isEqualTo(FAR);
+    assertThat(slots.get(1).target().id()).isEqualTo(FAR);
+  }
+
+  @Test
+  void keysOfTargetsThatLeaveAreRefusedAtOnceWhileTheyCannotMove() {
+    targets(target(NEAR, HERE, TargetPhase.READY));
+    owner(NEAR, true);
+    state.update(snapshot -> snapshot.withLeaving(Set.of(NEAR)));
+    submit("waits for the move", 1, OptionalInt.of(7));
+    assertThat(refused).isEmpty();
+    state.noteMoves(false, nowMs);
+    nowMs += 2_000;
+    state.noteMoves(false, nowMs);
+    submit("cannot move", 1, OptionalInt.of(7));
+    assertThat(refused.get("cannot move").cause()).isEqualTo(TargetRefusal.Cause.STUCK_KEY);
+    assertThat(refused.get("cannot move").retryAfterMs()).isEqualTo(2_000);
+    state.noteMoves(true, nowMs);
+    submit("may move again", 1, OptionalInt.of(7));
+    assertThat(refused).doesNotContainKey("may move again");
+  }
+
   private void rest(TargetId target, long restMs) {
     rests.onBegin(dispatcher::onRest);
     rests.ask(target(target, HERE, TargetPhase.READY), restMs);
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/OrderReply.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/OrderReply.java
@@ -8,6 +8,7 @@
  *
  * @param outcome what came of it; not null
  * @param handover what the next owner has to be given so that the keys are warm; not null
+ * @param leaving whether the target says that it is about to end
  * @since 0.2
  */
-public record OrderReply(OrderOutcome outcome, Optional<String> handover) {}
+public record OrderReply(OrderOutcome outcome, Optional<String> handover, boolean leaving) {}
--- a/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
+++ b/cuminvalve-wire/src/main/java/io/cuminvalve/wire/PeerMessageTypes.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.core.protocol.ConfigRequest;
 import io.cuminvalve.core.protocol.ConfigurationNews;
 import io.cuminvalve.core.protocol.CrashNews;
+import io.cuminvalve.core.protocol.DepartureNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetNews;
@@ -125,7 +126,8 @@
           type(53, QuotaReply.class),
           type(54, TrialRequest.class),
           type(55, TrialPermit.class),
-          type(56, TargetRest.class));
+          type(56, TargetRest.class),
+          type(57, DepartureNews.class));
 
   private PeerMessageTypes() {}
 
