Relieve resting owners in wide fleets too; report rests once a second

Cause: an owner was relieved once half of the gateways had been turned away, which takes longer than most rests where 95 gateways send it a request now and then; each rest was reported to the holder every 150 ms. Change: three gateways are enough; a report a second for all rests, and at once for those that have begun.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/TargetRest.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/TargetRest.java
@@ -3,11 +3,10 @@
 import io.cuminvalve.core.id.TargetId;
 
 /**
- * Sent by any process to the holder of the term: a target has asked this process for rest.
+ * For how long a process leaves a target alone that has asked it for rest.
  *
- * @param process the sender's id; not null
  * @param target the run of the target; not null
- * @param leftMs for how long the sender still leaves it alone; milliseconds, at least 0
+ * @param leftMs how long still; milliseconds, at least 0
  * @since 0.2
  */
-public record TargetRest(String process, TargetId target, long leftMs) implements FleetMessage {}
+public record TargetRest(TargetId target, long leftMs) {}
--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/TargetRestsReport.java
@@ -0,0 +1,18 @@
+package io.cuminvalve.core.protocol;
+
+import java.util.List;
+
+/**
+ * Sent by any process to the holder of the term: targets have asked this process for rest.
+ *
+ * @param process the sender's id; not null
+ * @param rests the targets that it leaves alone; not null
+ * @since 0.2
+ */
+public record TargetRestsReport(String process, List<TargetRest> rests) implements FleetMessage {
+
+  /** Copies the list. */
+  public TargetRestsReport {
+    rests = List.copyOf(rests);
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.ConfigurationNews;
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
@@ -17,6 +18,7 @@
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetReplaced;
 import io.cuminvalve.core.protocol.TargetRest;
+import io.cuminvalve.core.protocol.TargetRestsReport;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
@@ -35,6 +37,7 @@
 import io.cuminvalve.wire.PeerChannel;
 import io.cuminvalve.wire.PeerNetwork;
 import io.cuminvalve.wire.RecordCodec;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -222,7 +225,7 @@
     } else if (message instanceof KeyLoadReport
         || message instanceof TargetTimesReport
         || message instanceof TargetReplaced
-        || message instanceof TargetRest) {
+        || message instanceof TargetRestsReport) {
       duties.ifPresent(d -> d.onReport(message));
     } else if (message instanceof FleetBeat beat) {
       onBeat(sender, beat);
@@ -300,13 +303,20 @@
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
     reports.takeReplacedTargets().forEach(this::report);
-    reports
-        .restsMs()
-        .forEach((target, ms) -> report(new TargetRest(settings.process(), target, ms)));
+    reportRests(reports.takeBegunRestsMs());
   }
 
   private void reportTargetTimes() {
     report(reports.takeTargetTimes());
+    reportRests(reports.restsMs());
+  }
+
+  private void reportRests(Map<TargetId, Long> leftMs) {
+    if (!leftMs.isEmpty()) {
+      List<TargetRest> rests = new ArrayList<>();
+      leftMs.forEach((target, restMs) -> rests.add(new TargetRest(target, restMs)));
+      report(new TargetRestsReport(settings.process(), rests));
+    }
   }
 
   private void report(FleetMessage measured) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -15,7 +15,7 @@
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetReplaced;
-import io.cuminvalve.core.protocol.TargetRest;
+import io.cuminvalve.core.protocol.TargetRestsReport;
 import io.cuminvalve.core.protocol.TargetTime;
 import io.cuminvalve.core.protocol.TargetTimesReport;
 import io.cuminvalve.core.route.RoutingConfiguration;
@@ -201,8 +201,8 @@
       times.times().forEach(this::onTargetTime);
     } else if (report instanceof TargetReplaced replaced) {
       onReplacedTarget(replaced.target());
-    } else if (report instanceof TargetRest rest) {
-      resting.onRest(rest);
+    } else if (report instanceof TargetRestsReport rests) {
+      resting.onReport(rests);
     }
   }
 
@@ -444,7 +444,7 @@
       follower.register().of(id).forEach(target -> desk.onRestarted(target.id()));
       log.write("keys_taken_over", "service={} ranges={}", id, desk.rangeCount());
     }
-    return new ServiceDuties(id, desk, log, limits, resting::shareThatMaySend, clock.nowMs());
+    return new ServiceDuties(id, desk, log, limits, resting::isResting, clock.nowMs());
   }
 
   private long nextToken() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RestingOwners.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RestingOwners.java
@@ -2,13 +2,14 @@
 
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.TargetRest;
+import io.cuminvalve.core.protocol.TargetRestsReport;
 import io.cuminvalve.kernel.MillisClock;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.IntSupplier;
 
 /**
- * Knows, as the holder of the term, which gateways leave which targets alone. For the control
+ * Knows, as the holder of the term, which targets have asked gateways for rest. For the control
  * thread.
  */
 final class RestingOwners {
@@ -16,6 +17,9 @@
   /** A rest that is over sooner costs callers less than moving the keys. */
   private static final long SHORT_REST_MS = 500;
 
+  /** A target that has turned so many gateways away turns the others away, too. */
+  private static final int ENOUGH_GATEWAYS = 3;
+
   private final MillisClock clock;
   private final IntSupplier gateways;
   private final Map<TargetId, Map<String, Long>> endsMs = new HashMap<>();
@@ -25,25 +29,27 @@
     this.gateways = gateways;
   }
 
-  /** A gateway leaves a target alone. */
-  void onRest(TargetRest rest) {
+  /** A gateway leaves targets alone. */
+  void onReport(TargetRestsReport report) {
     dropOver();
-    if (rest.leftMs() > SHORT_REST_MS) {
-      endsMs
-          .computeIfAbsent(rest.target(), id -> new HashMap<>())
-          .put(rest.process(), clock.nowMs() + rest.leftMs());
+    for (TargetRest rest : report.rests()) {
+      if (rest.leftMs() > SHORT_REST_MS) {
+        endsMs
+            .computeIfAbsent(rest.target(), id -> new HashMap<>())
+            .put(report.process(), clock.nowMs() + rest.leftMs());
+      }
     }
   }
 
-  /** Returns which part of the gateways may send requests to a target; 0 to 1. */
-  double shareThatMaySend(TargetId target) {
+  /** Tells whether a target rests: for half of the gateways, or enough of them. */
+  boolean isResting(TargetId target) {
     Map<String, Long> ends = endsMs.get(target);
     if (ends == null) {
-      return 1;
+      return false;
     }
     long nowMs = clock.nowMs();
     long resting = ends.values().stream().filter(endMs -> endMs > nowMs).count();
-    return Math.max(0, 1 - (double) resting / Math.max(1, gateways.getAsInt()));
+    return resting >= ENOUGH_GATEWAYS || 2 * resting >= gateways.getAsInt();
   }
 
   private void dropOver() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServiceDuties.java
@@ -29,7 +29,7 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.Function;
-import java.util.function.ToDoubleFunction;
+import java.util.function.Predicate;
 
 /**
  * Decides for one service which target is to own which keys.
@@ -63,9 +63,6 @@
   /** Narrower ranges with less load are given away whole: each part is a lease. */
   private static final int WIDE_KEYS = 1_024;
 
-  /** Keys leave an owner to which at most this part of the gateways may send requests. */
-  private static final double RESTING_SHARE = 0.5;
-
   private static final double HEAVY_LOAD = 0.4;
 
   /** Requests that a target takes at once for each of its slots, those in its queue included. */
@@ -76,7 +73,7 @@
   private final DecisionLog log;
   private final KeyLoads loads;
   private final TargetSpeeds speeds = new TargetSpeeds();
-  private final ToDoubleFunction<TargetId> reachableShares;
+  private final Predicate<TargetId> resting;
   private final LimitCapacity capacity;
   private final Set<TargetId> busy = new HashSet<>();
   private final RangeTidier tidier = new RangeTidier();
@@ -96,13 +93,13 @@
       LeaseDesk desk,
       DecisionLog log,
       Function<TargetId, OptionalDouble> limits,
-      ToDoubleFunction<TargetId> reachableShares,
+      Predicate<TargetId> resting,
       long nowMs) {
     this.service = service;
     this.desk = desk;
     this.log = log;
     this.loads = new KeyLoads(LOAD_MEMORY_MS, nowMs);
-    this.reachableShares = reachableShares;
+    this.resting = resting;
     this.capacity = new LimitCapacity(limits);
     this.startedMs = nowMs;
     this.targetsChangedMs = nowMs;
@@ -198,14 +195,12 @@
   }
 
   /**
-   * Leaves out targets that most gateways leave alone: their keys are refused until they move. If
-   * most targets rest, there is too much load for the service, and no better place for keys.
+   * Leaves out targets that rest: their keys are refused until they move. If most targets rest,
+   * there is too much load for the service, and no better place for keys.
    */
   private List<FleetTarget> withoutResting(List<FleetTarget> ready) {
     List<FleetTarget> reachable =
-        ready.stream()
-            .filter(target -> reachableShares.applyAsDouble(target.id()) > RESTING_SHARE)
-            .toList();
+        ready.stream().filter(target -> !resting.test(target.id())).toList();
     return 2 * reachable.size() >= ready.size() ? reachable : ready;
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRests.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRests.java
@@ -8,7 +8,9 @@
 import io.cuminvalve.router.request.Timers;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -34,6 +36,7 @@
   private final RandomGenerator random;
   private final DecisionLog log;
   private final Map<TargetId, Long> endsMs = new HashMap<>();
+  private final Set<TargetId> begun = new HashSet<>();
   private volatile boolean anyRest;
   private volatile Consumer<FleetTarget> onBegin = target -> {};
   private volatile Consumer<ServiceId> onOver = service -> {};
@@ -70,6 +73,9 @@
       leftMs = restMs + random.nextLong(mostSpreadMs);
       Long beforeMs = endsMs.get(target.id());
       begins = beforeMs == null || beforeMs <= nowMs;
+      if (begins) {
+        begun.add(target.id());
+      }
       endsMs.merge(target.id(), nowMs + leftMs, Math::max);
       dropFirstToEnd();
       anyRest = true;
@@ -114,6 +120,17 @@
     }
   }
 
+  /** Takes the rests that have begun since the last call, with what is left; milliseconds. */
+  synchronized Map<TargetId, Long> takeBegun() {
+    if (begun.isEmpty()) {
+      return Map.of();
+    }
+    Map<TargetId, Long> leftMs = all();
+    leftMs.keySet().retainAll(begun);
+    begun.clear();
+    return leftMs;
+  }
+
   /** Returns for how long each target that rests is still left alone; milliseconds. */
   synchronized Map<TargetId, Long> all() {
     long nowMs = clock.nowMs();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -85,6 +85,15 @@
     return new ArrayList<>(keyWork.take());
   }
 
+  /**
+   * Takes the rests that have begun since the last call.
+   *
+   * @return what is left of them; milliseconds by target; never null
+   */
+  public Map<TargetId, Long> takeBegunRestsMs() {
+    return rests.takeBegun();
+  }
+
   /**
    * Returns for how long this gateway still leaves targets alone that have asked for rest.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetRestsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetRestsTest.java
@@ -60,6 +60,8 @@
     rests.ask(target("a"), 1_000);
     rests.ask(target("a"), 1_000);
     assertThat(begun).containsExactly(new TargetId("a"));
+    assertThat(rests.takeBegun().keySet()).containsExactly(new TargetId("a"));
+    assertThat(rests.takeBegun()).isEmpty();
     Runnable early = scheduled.remove(0);
     nowMs = 500;
     early.run();
