Tell in `explain log` that a target rested or was leaving

Cause: a request refused because its owner rested or left showed only the name of the reason. Change: AbsenceFinder; the search for earlier lines of a gateway, and for the end of a request in tests, stand once.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/CauseFinder.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/CauseFinder.java
@@ -34,6 +34,7 @@
     }
     causes.addAll(new QuarantineFinder(end).causes(lines));
     causes.addAll(new LimitFinder(end).causes(lines));
+    causes.addAll(new AbsenceFinder(end).causes(lines));
     OptionalInt key = end.key();
     if (key.isPresent()) {
       addOwner(KeyStory.of(key.getAsInt(), end.value("service"), lines), causes);
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/LimitFinder.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/LimitFinder.java
@@ -19,15 +19,17 @@
   /** Returns what the lines say, in order; nothing if no limit was the reason. */
   List<String> causes(List<LogLine> lines) {
     List<String> causes = new ArrayList<>();
-    Optional<LogLine> refusal = lastBefore(lines, "request_limited", "id", end.value("id"));
+    EarlierLines earlier = new EarlierLines(lines, end);
+    Optional<LogLine> refusal = earlier.last("request_limited", "id", end.value("id"));
     if (!end.value("why").equals(REASON) || refusal.isEmpty()) {
       return causes;
     }
     String target = refusal.get().value("target");
     causes.add(refusal(refusal.get()));
-    lastBefore(lines, "target_limit", "target", target).ifPresent(line -> causes.add(known(line)));
-    lastBefore(lines, "target_limit_used", "target", target)
-        .ifPresent(line -> causes.add(used(line)));
+    earlier
+        .last("target_limit", "target", target)
+        .ifPresent(line -> causes.add(EarlierLines.source(line)));
+    earlier.last("target_limit_used", "target", target).ifPresent(line -> causes.add(used(line)));
     return causes;
   }
 
@@ -41,11 +43,6 @@
         + " ms";
   }
 
-  private static String known(LogLine line) {
-    String source = line.has("source", "answer") ? " saw that in an answer at " : " heard that at ";
-    return line.process() + source + line.time();
-  }
-
   private static String used(LogLine line) {
     return line.process()
         + " had sent it "
@@ -56,13 +53,4 @@
         + line.time()
         + (line.has("alone", "true") ? ", without an answer of the holder" : "");
   }
-
-  /** Returns the last line of this gateway up to the end of the request. */
-  private Optional<LogLine> lastBefore(
-      List<LogLine> lines, String event, String name, String value) {
-    return lines.stream()
-        .filter(line -> line.atMs() <= end.atMs() && line.process().equals(end.process()))
-        .filter(line -> line.event().equals(event) && line.has(name, value))
-        .reduce((before, after) -> after);
-  }
 }
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -24,6 +24,11 @@
           Map.entry(
               "target_limited",
               "all targets that may run it take a limited number of requests a second"),
+          Map.entry("target_resting", "all targets that may run it had asked for rest"),
+          Map.entry("owner_resting", "the owner had asked for rest"),
+          Map.entry(
+              "key_stuck",
+              "the owner could not run it, and keys could not move while the store was away"),
           Map.entry(
               "limit_unanswered",
               "the holder did not answer in time whether its target, which has a limit, takes it"),
--- a/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/LimitFinderTest.java
+++ b/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/LimitFinderTest.java
@@ -49,11 +49,6 @@
   }
 
   private List<String> causes(String id) {
-    LogLine end =
-        lines.stream()
-            .filter(line -> line.has("id", id) && RequestStory.isEnd(line))
-            .findFirst()
-            .orElseThrow();
-    return new LimitFinder(end).causes(lines);
+    return new LimitFinder(StoryLines.endOf(id, lines)).causes(lines);
   }
 }
--- a/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/StoryLines.java
+++ b/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/StoryLines.java
@@ -48,4 +48,12 @@
   static InputStream stream(String text) {
     return new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8));
   }
+
+  /** Returns the last line of a request. */
+  static LogLine endOf(String id, List<LogLine> lines) {
+    return lines.stream()
+        .filter(line -> line.has("id", id) && RequestStory.isEnd(line))
+        .findFirst()
+        .orElseThrow();
+  }
 }
