--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleSweepTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleSweepTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -27,16 +29,16 @@
   void noKeyHasTwoOwnersInAnySchedule() {
     long count = Long.getLong("cuminvalve.leaseSchedules", DEFAULT_SCHEDULES);
     long first = Long.getLong("cuminvalve.firstLeaseSeed", DEFAULT_FIRST_SEED);
-    List<Long> broken =
+    List<String> broken =
         LongStream.range(first, first + count)
             .parallel()
-            .filter(LeaseScheduleSweepTest::isBroken)
-            .boxed()
+            .mapToObj(LeaseScheduleSweepTest::violationsOf)
+            .flatMap(Optional::stream)
             .toList();
-    assertWithMessage("seeds that break a promise").that(broken).isEmpty();
+    assertWithMessage("schedules that break a promise").that(broken).isEmpty();
   }
 
-  private static boolean isBroken(long seed) {
+  private static Optional<String> violationsOf(long seed) {
     int combination = (int) Math.floorMod(seed, (long) COMBINATIONS);
     LeaseWorld world = new LeaseWorld(seed, true, (combination & 1) != 0);
     if ((combination & 2) != 0) {
@@ -46,6 +48,9 @@
       world = world.withClockFaults();
     }
     world.run(DURATION_MS);
-    return !world.promises().violations().isEmpty();
+    Map<LeasePromises.Violation, String> violations = world.promises().violations();
+    return violations.isEmpty()
+        ? Optional.empty()
+        : Optional.of("seed " + seed + ": " + violations);
   }
 }
