Count grants that may have reached the next run of an ended owner's name

What callers would have seen: two targets hold a key for up to a lease. Cause: news that an owner has ended may be late. The next run of its name may be at its address by then, and take a grant that was under way to the owner, or was sent since. The holder took every lease of the owner for void with the news, gave the key away at once, and forgot the grant. Change: grants in flight, and those sent since an order last found the owner absent, still count when it is known to have ended. A release or its answer settles them, so keys of ended targets wait one round trip at most in the usual case.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -38,6 +38,12 @@
 
   private long unansweredUntilMs;
 
+  /** Whether an order found that the owner was not there: the next run of its name may be. */
+  private boolean absenceSeen;
+
+  /** Until when a lease may be in force by a grant that was sent after that. */
+  private long afterAbsenceUntilMs;
+
   HeldRange(KeyRange range, TargetId owner, long token, long neededVersion) {
     this.range = range;
     this.owner = owner;
@@ -59,6 +65,8 @@
     copy.foreignUntilMs = foreignUntilMs;
     copy.inFlightUntilMs = inFlightUntilMs;
     copy.unansweredUntilMs = unansweredUntilMs;
+    copy.absenceSeen = absenceSeen;
+    copy.afterAbsenceUntilMs = afterAbsenceUntilMs;
     return copy;
   }
 
@@ -122,6 +130,11 @@
     return Math.max(ours, foreignUntilMs);
   }
 
+  /** Returns until when a later run of the owner may hold the range, by a grant for the owner. */
+  private long nextRunUntilMs() {
+    return grantInFlight ? Math.max(afterAbsenceUntilMs, inFlightUntilMs) : afterAbsenceUntilMs;
+  }
+
   /** An earlier holder told until when a target may hold these keys. */
   void limitForeign(ToLongFunction<TargetId> untilMs) {
     foreignUntilMs = Math.min(foreignUntilMs, untilMs.applyAsLong(owner));
@@ -134,7 +147,7 @@
   }
 
   void assumePreviousOwner(TargetId id, long foreignUntil) {
-    previousOwners.put(id, new PreviousOwner(0, foreignUntil, 0));
+    previousOwners.put(id, new PreviousOwner(0, foreignUntil, 0, 0));
   }
 
   /** Returns for how long each previous owner may still hold the range. */
@@ -150,13 +163,16 @@
     long openUntilMs = grantInFlight ? inFlightUntilMs : unansweredUntilMs;
     previousOwners.values().forEach(PreviousOwner::restart);
     if (Math.max(untilMs, foreignUntilMs) > nowMs) {
-      previousOwners.put(owner, new PreviousOwner(untilMs, foreignUntilMs, openUntilMs));
+      previousOwners.put(
+          owner, new PreviousOwner(untilMs, foreignUntilMs, openUntilMs, nextRunUntilMs()));
     }
     owner = newOwner;
     neededVersion = version;
     heldUntilMs = 0;
     foreignUntilMs = 0;
     unansweredUntilMs = 0;
+    absenceSeen = false;
+    afterAbsenceUntilMs = 0;
     handover = Optional.empty();
     restartWith(newToken);
     granted = false;
@@ -180,6 +196,8 @@
         grantInFlight = false;
       }
       owner = run;
+      absenceSeen = false;
+      afterAbsenceUntilMs = 0;
       granted = false;
       nextGrantMs = 0;
       takesOver = true;
@@ -222,6 +240,7 @@
     grantInFlight = false;
     nextGrantMs = nextMs;
     unansweredUntilMs = outcome == OrderOutcome.UNANSWERED ? inFlightUntilMs : 0;
+    noteAbsence(outcome);
     switch (outcome) {
       case DONE -> {
         granted = true;
@@ -239,6 +258,14 @@
     }
   }
 
+  private void noteAbsence(OrderOutcome outcome) {
+    if (outcome == OrderOutcome.NOT_SENT || outcome == OrderOutcome.OTHER_TARGET) {
+      absenceSeen = true;
+    } else if (absenceSeen) {
+      afterAbsenceUntilMs = Math.max(afterAbsenceUntilMs, inFlightUntilMs);
+    }
+  }
+
   void onReleased(TargetId id, Optional<String> passedOn, long nextMs) {
     PreviousOwner previous = previousOwners.get(id);
     if (previous != null) {
@@ -249,16 +276,16 @@
     }
   }
 
+  /** What the run held is void. The next run of its name may have taken later grants for it. */
   void onGone(TargetId id) {
     PreviousOwner previous = previousOwners.get(id);
     if (previous != null) {
       previous.onGone();
     }
     if (owner.equals(id)) {
-      heldUntilMs = 0;
+      heldUntilMs = afterAbsenceUntilMs;
       foreignUntilMs = 0;
-      inFlightUntilMs = 0;
-      unansweredUntilMs = 0;
+      unansweredUntilMs = Math.min(unansweredUntilMs, afterAbsenceUntilMs);
     }
   }
 
@@ -279,6 +306,8 @@
     HeldRange joined = withKeys(new KeyRange(range.first(), next.range.last()));
     joined.heldUntilMs = Math.max(heldUntilMs, next.heldUntilMs);
     joined.foreignUntilMs = Math.max(foreignUntilMs, next.foreignUntilMs);
+    joined.absenceSeen = absenceSeen || next.absenceSeen;
+    joined.afterAbsenceUntilMs = Math.max(afterAbsenceUntilMs, next.afterAbsenceUntilMs);
     joined.neededVersion = Math.max(neededVersion, next.neededVersion);
     return joined;
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -337,7 +337,7 @@
       }
       PreviousOwner previous = held.previousOwners().get(order.target());
       if (previous != null && outcome != OrderOutcome.UNANSWERED) {
-        previous.onGrantAnswered();
+        previous.onGrantAnswered(outcome);
       }
     }
     return opened;
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
@@ -12,18 +12,26 @@
   /** Until when a grant that got no answer may still be carried out. */
   private long unansweredUntilMs;
 
+  /** Until when the next run of its name may hold the range, by a grant that was meant for it. */
+  private long nextRunUntilMs;
+
+  private boolean gone;
   private boolean released;
   private boolean releaseInFlight;
   private long nextReleaseMs;
 
-  PreviousOwner(long heldUntilMs, long foreignUntilMs, long unansweredUntilMs) {
+  PreviousOwner(
+      long heldUntilMs, long foreignUntilMs, long unansweredUntilMs, long nextRunUntilMs) {
     this.heldUntilMs = heldUntilMs;
     this.foreignUntilMs = foreignUntilMs;
     this.unansweredUntilMs = unansweredUntilMs;
+    this.nextRunUntilMs = nextRunUntilMs;
   }
 
   PreviousOwner copy() {
-    PreviousOwner copy = new PreviousOwner(heldUntilMs, foreignUntilMs, unansweredUntilMs);
+    PreviousOwner copy =
+        new PreviousOwner(heldUntilMs, foreignUntilMs, unansweredUntilMs, nextRunUntilMs);
+    copy.gone = gone;
     copy.released = released;
     copy.releaseInFlight = releaseInFlight;
     copy.nextReleaseMs = nextReleaseMs;
@@ -35,7 +43,8 @@
     return new PreviousOwner(
         Math.max(heldUntilMs, other.heldUntilMs),
         Math.max(foreignUntilMs, other.foreignUntilMs),
-        Math.max(unansweredUntilMs, other.unansweredUntilMs));
+        Math.max(unansweredUntilMs, other.unansweredUntilMs),
+        Math.max(nextRunUntilMs, other.nextRunUntilMs));
   }
 
   /** A new token is in use: what was answered under the one before no longer counts. */
@@ -72,12 +81,17 @@
     nextReleaseMs = nextMs;
   }
 
-  void onGrantAnswered() {
+  /** The grant that was in flight at the move was answered: it was carried out, or never is. */
+  void onGrantAnswered(OrderOutcome outcome) {
     unansweredUntilMs = 0;
+    if (gone && outcome != OrderOutcome.DONE) {
+      heldUntilMs = 0;
+    }
   }
 
   void onGone() {
-    heldUntilMs = 0;
+    gone = true;
+    heldUntilMs = Math.min(heldUntilMs, nextRunUntilMs);
     foreignUntilMs = 0;
   }
 }
