--- a/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/EventTableTest.java
+++ b/cuminvalve-architecture/src/test/java/io/cuminvalve/architecture/EventTableTest.java
@@ -25,7 +25,7 @@
   /** A name that is written at once, one of two names, or part of a whole line. */
   private static final Pattern WRITTEN =
       Pattern.compile(
-          "(?:(?:\\.write|\\blog|\\blogOrder)\\(\\s*|String event = )"
+          "(?:(?:\\.write|\\blog|\\blogOrder|\\blogRefusal)\\(\\s*|String event = )"
               + "(?:\\w+ \\? \"([a-z_]+)\" : )?\"([a-z_]+)\""
               + "|\"event=([a-z_]+)");
 
