Select the earlier lines of a gateway in one place

Cause: AbsenceFinder filtered the lines of a gateway up to the end of a request once more beside EarlierLines, and QuarantineFinderTest looked for the end of a request beside StoryLines.endOf. Change: EarlierLines.all; the test calls endOf. Behaviour and assertions are as they were. Conclusion: the command line only; the gateway's program is untouched.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/AbsenceFinder.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/AbsenceFinder.java
@@ -27,7 +27,7 @@
     return switch (end.value("why")) {
       case RESTING -> rest(earlier);
       case STUCK_KEY -> stuckKey(earlier);
-      case LEAVING_OWNER -> departures(lines);
+      case LEAVING_OWNER -> departures(earlier);
       default -> List.of();
     };
   }
@@ -73,12 +73,8 @@
   }
 
   /** The line names no target: all that had said so before may be meant. */
-  private List<String> departures(List<LogLine> lines) {
-    return lines.stream()
-        .filter(line -> line.atMs() <= end.atMs() && line.process().equals(end.process()))
-        .filter(line -> line.event().equals("target_leaving"))
-        .map(AbsenceFinder::departure)
-        .toList();
+  private static List<String> departures(EarlierLines earlier) {
+    return earlier.all("target_leaving").stream().map(AbsenceFinder::departure).toList();
   }
 
   private static String departure(LogLine line) {
--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/EarlierLines.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/EarlierLines.java
@@ -23,6 +23,11 @@
         .reduce((before, after) -> after);
   }
 
+  /** Returns all lines of an event. */
+  List<LogLine> all(String event) {
+    return lines.stream().filter(line -> line.event().equals(event)).toList();
+  }
+
   /** Says how the gateway of a line came to know what the line tells. */
   static String source(LogLine line) {
     String source = line.has("source", "answer") ? " saw that in an answer at " : " heard that at ";
--- a/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/QuarantineFinderTest.java
+++ b/cuminvalve-cli/src/test/java/io/cuminvalve/cli/story/QuarantineFinderTest.java
@@ -52,7 +52,6 @@
   }
 
   private List<String> causes(String id) {
-    LogLine end = lines.stream().filter(line -> line.has("id", id)).findFirst().orElseThrow();
-    return new QuarantineFinder(end).causes(lines);
+    return new QuarantineFinder(StoryLines.endOf(id, lines)).causes(lines);
   }
 }
