Add a gate for the first byte: what has to hold, and how old the proof of it may be

Requests and orders were checked when they were decided on. The gate is looked at right before the first byte. All facts that may forbid a send come in one type, with the time as of which they are known; unknown or too old forbids.

--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/send/SendGateTest.java
@@ -0,0 +1,95 @@
+package io.cuminvalve.core.send;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.kernel.UpperTime;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class SendGateTest {
+
+  private static final long MAX_AGE_MS = 1_000;
+
+  private long nowMs = 10_000;
+  private final SendGate gate = new SendGate(() -> nowMs);
+  private final Map<SendCondition, SendFact> known = new EnumMap<>(SendCondition.class);
+  private final List<SendCondition> asked = new ArrayList<>();
+
+  private Optional<SendObstacle> check(SendKind kind) {
+    return gate.check(kind, this::factOf);
+  }
+
+  private SendFact factOf(SendCondition condition, UpperTime now) {
+    asked.add(condition);
+    return known.getOrDefault(condition, SendFact.local(true, now));
+  }
+
+  @Test
+  void whatHoldsMayBeSent() {
+    assertThat(check(SendKind.REQUEST)).isEmpty();
+    assertThat(check(SendKind.ORDER)).isEmpty();
+  }
+
+  /** Each condition alone stops every kind of message that it concerns, and no other. */
+  @Test
+  void everyConditionThatDoesNotHoldStopsWhatItConcerns() {
+    for (SendCondition condition : SendCondition.values()) {
+      known.clear();
+      known.put(condition, SendFact.local(false, new UpperTime(nowMs)));
+      for (SendKind kind : SendKind.values()) {
+        Optional<SendObstacle> expected =
+            condition.concerns(kind)
+                ? Optional.of(new SendObstacle(condition, false))
+                : Optional.empty();
+        assertThat(check(kind)).isEqualTo(expected);
+      }
+    }
+  }
+
+  /** A step before the gate that takes 2 s makes old knowledge older, not newer. */
+  @Test
+  void everyConditionThatIsOutOfDateStopsWhatItConcerns() {
+    for (SendCondition condition : SendCondition.values()) {
+      known.clear();
+      known.put(condition, SendFact.heard(true, new UpperTime(nowMs), MAX_AGE_MS));
+      SendKind kind = condition.concerns(SendKind.REQUEST) ? SendKind.REQUEST : SendKind.ORDER;
+      assertThat(check(kind)).isEmpty();
+      nowMs += 2_000;
+      assertThat(check(kind)).hasValue(new SendObstacle(condition, true));
+    }
+  }
+
+  @Test
+  void whatWasNeverKnownStopsTheSend() {
+    known.put(
+        SendCondition.TARGET_SERVES, SendFact.heard(true, UpperTime.NEVER, Long.MAX_VALUE / 4));
+    assertThat(check(SendKind.REQUEST))
+        .hasValue(new SendObstacle(SendCondition.TARGET_SERVES, true));
+  }
+
+  @Test
+  void nothingIsAskedAfterTheFirstObstacle() {
+    known.put(SendCondition.ATTEMPT_OPEN, SendFact.local(false, new UpperTime(nowMs)));
+    assertThat(check(SendKind.REQUEST)).isPresent();
+    assertThat(asked).containsExactly(SendCondition.ATTEMPT_OPEN);
+  }
+
+  /** The look at the caller's connection costs a system call: nothing else comes after it. */
+  @Test
+  void theCallerIsLookedAtLast() {
+    assertThat(check(SendKind.REQUEST)).isEmpty();
+    assertThat(asked.get(asked.size() - 1)).isEqualTo(SendCondition.CALLER_PRESENT);
+  }
+
+  @Test
+  void theReasonTellsWhatIsOnlyOutOfDate() {
+    assertThat(new SendObstacle(SendCondition.TARGET_SERVES, false).label())
+        .isEqualTo("target_serves");
+    assertThat(new SendObstacle(SendCondition.TARGET_SERVES, true).label())
+        .isEqualTo("target_serves_unknown");
+  }
+}
