--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetBeat.java
@@ -14,6 +14,9 @@
  * @param configurationAgeMs how old that knowledge is; milliseconds
  * @param deputies the peer addresses of the gateways that follow the store beside the holder; not
  *     null
+ * @param targetsVersion the version of the targets that the holder has told in its term; {@link
+ *     Long#MAX_VALUE} if it has told none
+ * @param helloSentMs when the hello that this answers was sent, by its sender's clock; milliseconds
  * @since 0.2
  */
 public record FleetBeat(
@@ -23,7 +26,9 @@
     long termAgeMs,
     long configurationRevision,
     long configurationAgeMs,
-    List<String> deputies)
+    List<String> deputies,
+    long targetsVersion,
+    long helloSentMs)
     implements FleetMessage {
 
   /** Copies the list. */
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -14,6 +14,7 @@
  * @param processorCores how many cores it may use
  * @param crashDigest tells whether both watch the same requests for crashes; 0 if it watches none
  * @param limitDigest tells whether both know the same limits of targets; 0 if it knows none
+ * @param sentMs when it was sent, by the sender's clock, for the answer to repeat; milliseconds
  * @param departureDigest tells whether both know the same targets that leave; 0 if it knows none
  * @since 0.2
  */
@@ -28,5 +29,6 @@
     double processorCores,
     long crashDigest,
     long limitDigest,
+    long sentMs,
     long departureDigest)
     implements FleetMessage {}
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FollowerBeat.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FollowerBeat.java
@@ -8,6 +8,7 @@
  * @param termAgeMs how old that knowledge is; milliseconds
  * @param configurationRevision the store's revision of the configuration that it knows; 0 if none
  * @param configurationAgeMs how old that knowledge is; milliseconds
+ * @param helloSentMs when the hello that this answers was sent, by its sender's clock; milliseconds
  * @since 0.2
  */
 public record FollowerBeat(
@@ -15,5 +16,6 @@
     String holderAddress,
     long termAgeMs,
     long configurationRevision,
-    long configurationAgeMs)
+    long configurationAgeMs,
+    long helloSentMs)
     implements FleetMessage {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -133,6 +133,15 @@
     return follower.ageMs();
   }
 
+  /**
+   * Returns when what is known was last confirmed to be the newest. For any thread.
+   *
+   * @return {@link UpperTime#NEVER} if it never was; never null
+   */
+  public UpperTime confirmed() {
+    return follower.confirmed();
+  }
+
   /**
    * Learns which revision another gateway knows.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FirstLook.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FirstLook.java
@@ -10,6 +10,8 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.store.ReadResult;
 import io.cuminvalve.ports.store.StoreValue;
@@ -30,8 +32,11 @@
   /** Learns what the store says. */
   interface Listener {
 
-    /** The registered targets. */
-    void onTargets(List<FleetTarget> targets);
+    /** The registered targets, as they were at some time after the one given. */
+    void onTargets(List<FleetTarget> targets, UpperTime asOf);
+
+    /** The store did not tell them. */
+    void onNoTargets();
 
     /** The owners as the last holder wrote them. */
     void onOwners(List<ServiceRanges> owners);
@@ -39,6 +44,7 @@
 
   private final GatewayPorts ports;
   private final ControlThread control;
+  private final MillisClock clock;
   private final DecisionLog log;
   private final RecordCodec codec;
   private final Listener listener;
@@ -46,11 +52,13 @@
   FirstLook(
       GatewayPorts ports,
       ControlThread control,
+      MillisClock clock,
       DecisionLog log,
       RecordCodec codec,
       Listener listener) {
     this.ports = ports;
     this.control = control;
+    this.clock = clock;
     this.log = log;
     this.codec = codec;
     this.listener = listener;
@@ -61,12 +69,15 @@
   }
 
   void listTargets() {
-    ports.registry().listStale().thenAcceptAsync(this::onListing, control);
+    UpperTime asked = clock.upper();
+    ports.registry().list().thenAcceptAsync(listing -> onListing(listing, asked), control);
   }
 
-  private void onListing(RegistryListing listing) {
+  private void onListing(RegistryListing listing, UpperTime asked) {
     if (listing.available()) {
-      listener.onTargets(listing.targets());
+      listener.onTargets(listing.targets(), asked);
+    } else {
+      listener.onNoTargets();
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -61,8 +61,17 @@
   /** Pause between two reports of times: the speed of a target seldom changes. */
   private static final long TARGET_TIMES_MS = 1_000;
 
-  /** What the holder knows of the targets is too old to rely on: a call, its pace and some. */
-  static final long STALE_REGISTRY_MS = 1_800;
+  /** A holder whose knowledge of the targets is older is not heard: a call, its pace and some. */
+  static final long STALE_REGISTRY_MS = 1_300;
+
+  /**
+   * Older knowledge of the targets is looked up here: two calls of the holder to a slow store, its
+   * pause, the longest pause between hellos; what is left of 1.9 s is for the look.
+   */
+  private static final long OUTDATED_TARGETS_MS = 1_500;
+
+  /** Pause between two looks at the age of what is known. */
+  private static final long CHECK_MS = 100;
 
   /** In a wide fleet the registry takes several calls; a holder that is there may be faster. */
   private static final long LIST_AFTER_MS = 60;
@@ -104,6 +113,9 @@
   private Optional<String> holderAddress = Optional.empty();
   private UpperTime heard;
   private UpperTime freshBeat;
+  private boolean followsHolder;
+  private Optional<Long> firstListingDueMs = Optional.empty();
+  private volatile boolean storeSilent;
 
   FleetLink(
       PeerNetwork network,
@@ -128,7 +140,7 @@
     this.log = log;
     this.ports = ports;
     this.settings = settings;
-    this.firstLook = new FirstLook(ports, control, log, codec, new FirstKnowledge());
+    this.firstLook = new FirstLook(ports, control, clock, log, codec, new FirstKnowledge());
     this.reports = reports;
     this.pace = pace;
     this.inheritance = new LeaseInheritance(network, subscribers, clock, onReplaced);
@@ -161,18 +173,21 @@
     crashes.start();
     quotas.start();
     departures.start();
+    state.watch(configuration::confirmed, () -> storeSilent);
     if (!settings.firstStart()) {
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
     }
     repeat(this::onPace, pace::helloMs);
+    repeat(this::checkAge, () -> CHECK_MS);
     repeat(this::askDeputies, () -> ASK_DEPUTIES_MS);
     repeat(this::reportKeyWork, () -> pace.widened(KEY_WORK_MS));
     repeat(this::reportTargetTimes, () -> pace.widened(TARGET_TIMES_MS));
   }
 
   private void listIfUnaware() {
-    if (state.current().targets().isEmpty()) {
+    if (state.targetsConfirmed().equals(UpperTime.NEVER)) {
+      firstListingDueMs = Optional.of(clock.nowMs() + RegistryFollower.SILENT_AFTER_MS);
       firstLook.listTargets();
     }
   }
@@ -189,6 +204,7 @@
   /** This gateway holds the term now, or no longer. */
   void setDuties(Optional<HolderDuties> now) {
     heard = clock.upper();
+    followsHolder = false;
     duties.ifPresent(inheritance::onLost);
     duties = now;
     if (now.isPresent()) {
@@ -255,12 +271,10 @@
       quotas.onConfidants(Optional.empty(), subscribers.deputies(), subscribers.count() + 1);
       departures.onConfidants(Optional.empty(), subscribers.deputies());
       state.noteMoves(duties.get().termAgeMs() <= FRESH_MS, clock.nowMs());
-      state.confirmTargets(clock.upper().minusMs(duties.get().registryAgeMs()));
       subscribers.dropSilent(clock.nowMs(), pace.helloMs());
       updateProcesses();
       return;
     }
-    ownLook.confirmTargets();
     sayHello();
     askSeeds();
     boolean silent = clock.upper().sinceMs(heard) > pace.silentMs();
@@ -269,6 +283,26 @@
     }
   }
 
+  /**
+   * What is known of the targets must not grow old unnoticed, for whatever reason: the holder is
+   * gone, or cut off, or a change that it told was lost.
+   */
+  private void checkAge() {
+    if (duties.isPresent()) {
+      state.confirmTargets(duties.get().targetsConfirmed());
+      storeSilent = duties.get().isStoreSilent();
+      return;
+    }
+    ownLook.confirmTargets();
+    boolean unaware = state.targetsConfirmed().equals(UpperTime.NEVER);
+    boolean firstListingLate = firstListingDueMs.filter(due -> clock.nowMs() >= due).isPresent();
+    storeSilent = ownLook.isSilent() || (unaware && firstListingLate);
+    boolean outdated = clock.upper().sinceMs(state.targetsConfirmed()) > OUTDATED_TARGETS_MS;
+    if (outdated && !unaware && !ownLook.isOpen()) {
+      lookOneself();
+    }
+  }
+
   /** This host was suspended: the holder and its deputies are asked at once. */
   void onWoken() {
     onPace();
@@ -295,9 +329,9 @@
     if (duties.isPresent()) {
       return;
     }
-    UpperTime now = clock.upper();
-    configuration.onHeard(beat.configurationRevision(), now.minusMs(beat.configurationAgeMs()));
-    terms.onHeard(beat.term(), beat.holderAddress(), now.minusMs(beat.termAgeMs()));
+    UpperTime asked = new UpperTime(beat.helloSentMs());
+    configuration.onHeard(beat.configurationRevision(), asked.minusMs(beat.configurationAgeMs()));
+    terms.onHeard(beat.term(), beat.holderAddress(), asked.minusMs(beat.termAgeMs()));
   }
 
   private void reportKeyWork() {
@@ -339,18 +373,24 @@
         configuration.revision(),
         crashes.digest(),
         quotas.digest(),
+        clock.upper(),
         departures.digest());
   }
 
   private void lookOneself() {
     log.write("holder_silent", "holder={}", holderAddress.orElse("-"));
     ownLook.open();
+    followsHolder = false;
     view.distrustTargets();
   }
 
+  /**
+   * Takes the holder's answer to a hello. How long it was under way is not known: it is as new as
+   * the hello.
+   */
   private void onBeat(PeerChannel holder, FleetBeat beat) {
-    UpperTime now = clock.upper();
-    UpperTime confirmed = now.minusMs(beat.termAgeMs());
+    UpperTime asked = new UpperTime(beat.helloSentMs());
+    UpperTime confirmed = asked.minusMs(beat.termAgeMs());
     if (duties.isPresent() || !terms.onHeard(beat.term(), holder.peerAddress(), confirmed)) {
       return;
     }
@@ -365,13 +405,25 @@
     if (beat.registryAgeMs() <= STALE_REGISTRY_MS) {
       heard = clock.upper();
     }
-    state.confirmTargets(now.minusMs(beat.registryAgeMs()));
-    configuration.onHeard(beat.configurationRevision(), now.minusMs(beat.configurationAgeMs()));
+    confirmTargets(beat, asked);
+    configuration.onHeard(beat.configurationRevision(), asked.minusMs(beat.configurationAgeMs()));
     if (state.current().processes() != beat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, beat.processes())));
     }
   }
 
+  /** The holder's word confirms only the targets that it has told. */
+  private void confirmTargets(FleetBeat beat, UpperTime asked) {
+    TargetsPush told = view.targets();
+    boolean current = told.term() == beat.term() && told.version() >= beat.targetsVersion();
+    if (current && !followsHolder) {
+      installTargets();
+    }
+    if (current && followsHolder) {
+      state.confirmTargets(asked.minusMs(beat.registryAgeMs()));
+    }
+  }
+
   private void onTargetsPush(TargetsPush push) {
     if (duties.isEmpty() && view.take(push)) {
       installTargets();
@@ -392,6 +444,7 @@
   private void installTargets() {
     if (clock.upper().sinceMs(heard) <= pace.silentMs()) {
       ownLook.close();
+      followsHolder = true;
       List<FleetTarget> targets = view.targets().targets();
       state.update(snapshot -> snapshot.withTargets(targets));
     }
@@ -477,7 +530,8 @@
               holderAddress.orElse(""),
               terms.ageMs(),
               configuration.revision(),
-              configuration.ageMs()));
+              configuration.ageMs(),
+              hello.sentMs()));
     }
     crashes.onHello(sender, hello);
     quotas.onHello(sender, hello);
@@ -493,11 +547,13 @@
         new FleetBeat(
             holder.term(),
             subscribers.count() + 1,
-            holder.registryAgeMs(),
+            clock.upper().sinceMs(holder.targetsConfirmed()),
             holder.termAgeMs(),
             configuration.revision(),
             configuration.ageMs(),
-            subscribers.deputies()));
+            subscribers.deputies(),
+            view.targets().term() == holder.term() ? view.targets().version() : Long.MAX_VALUE,
+            hello.sentMs()));
     configuration.onHeard(hello.configurationRevision(), UpperTime.NEVER);
     updateProcesses();
   }
@@ -525,12 +581,18 @@
   private final class FirstKnowledge implements FirstLook.Listener {
 
     @Override
-    public void onTargets(List<FleetTarget> targets) {
-      if (state.current().targets().isEmpty()) {
+    public void onTargets(List<FleetTarget> targets, UpperTime asOf) {
+      if (state.targetsConfirmed().equals(UpperTime.NEVER)) {
+        state.confirmTargets(asOf);
         state.update(snapshot -> snapshot.withTargets(targets));
       }
     }
 
+    @Override
+    public void onNoTargets() {
+      firstListingDueMs = Optional.of(clock.nowMs());
+    }
+
     @Override
     public void onOwners(List<ServiceRanges> owners) {
       if (view.takeStored(owners)) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -12,6 +12,7 @@
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.kernel.UpperTime;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -44,6 +45,7 @@
       long configurationRevision,
       long crashDigest,
       long limitDigest,
+      UpperTime sent,
       long departureDigest) {
     return new FleetHello(
         process,
@@ -56,6 +58,7 @@
         processorCores,
         crashDigest,
         limitDigest,
+        sent.ms(),
         departureDigest);
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -36,6 +36,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -97,7 +98,7 @@
   private final Map<ServiceId, ServiceDuties> duties = new LinkedHashMap<>();
   private final Map<TargetId, String> lastAddresses = new HashMap<>();
   private final Map<TargetId, Long> firstSeen = new HashMap<>();
-  private final Set<TargetId> ended = new HashSet<>();
+  private final Set<TargetId> ended = ConcurrentHashMap.newKeySet();
   private long listings;
   private Map<ServiceId, OwnershipTable> stored = Map.of();
   private long storedTerm;
@@ -150,11 +151,13 @@
             clock,
             log,
             List.copyOf(state.current().targets()),
+            state.targetsConfirmed(),
             this::onTargets);
     this.ownership = new OwnershipStore(ports.store(), control, log, codec, term);
     this.sender =
         new OrderSender(
             ports.leases(),
+            new Knowledge(),
             control,
             clock,
             log,
@@ -187,8 +190,13 @@
     return clock.upper().sinceMs(termLease.confirmed());
   }
 
-  long registryAgeMs() {
-    return follower.ageMs();
+  UpperTime targetsConfirmed() {
+    return follower.confirmed();
+  }
+
+  /** Tells whether the store leaves the holder without an answer. */
+  boolean isStoreSilent() {
+    return follower.isSilent();
   }
 
   void onReport(PeerMessage report) {
@@ -320,7 +328,10 @@
     targets.forEach(target -> lastAddresses.put(target.id(), target.address()));
     targets.forEach(this::noteRestart);
     state.update(snapshot -> snapshot.withTargets(targets));
-    audience.onTargets(term, follower.register().version(), targets);
+    if (follower.isListed()) {
+      state.confirmTargets(follower.confirmed());
+      audience.onTargets(term, follower.register().version(), targets);
+    }
     act();
   }
 
@@ -543,4 +554,23 @@
     routesVersion++;
     audience.onRoutes(term, routesVersion, services);
   }
+
+  /** What may forbid an order when its first byte is due. */
+  private final class Knowledge implements OrderKnowledge {
+
+    @Override
+    public UpperTime termConfirmed() {
+      return termLease.confirmed();
+    }
+
+    @Override
+    public long termMaxAgeMs() {
+      return timings.holderGraceMs();
+    }
+
+    @Override
+    public boolean hasEnded(TargetId target) {
+      return ended.contains(target);
+    }
+  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -129,7 +129,12 @@
 
   /** Returns for how long nobody has confirmed what is known; milliseconds. */
   long ageMs() {
-    return clock.upper().sinceMs(answered.latest(heard));
+    return clock.upper().sinceMs(confirmed());
+  }
+
+  /** Returns when what is known was last confirmed, by the store or by others; for any thread. */
+  UpperTime confirmed() {
+    return answered.latest(heard);
   }
 
   /** Tells whether the key did not exist when the store was asked last. */
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderFacts.java
@@ -0,0 +1,48 @@
+package io.cuminvalve.gateway.control;
+
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.send.SendCondition;
+import io.cuminvalve.core.send.SendFact;
+import io.cuminvalve.core.send.SendFacts;
+import io.cuminvalve.kernel.UpperTime;
+import java.util.function.BooleanSupplier;
+
+/** What the holder of the term knows, at the first byte of an order, that may forbid it. */
+final class OrderFacts implements SendFacts {
+
+  /** An order that took longer to begin is decided on anew. */
+  static final long DECISION_MAX_AGE_MS = 400;
+
+  private final OrderKnowledge knowledge;
+  private final BooleanSupplier holdsTerm;
+  private final TargetId target;
+  private final UpperTime decided;
+
+  /**
+   * Creates the facts of one order.
+   *
+   * @param knowledge what the holder knows; not null
+   * @param holdsTerm whether this process still holds the term; not null
+   * @param target whom the order is for; not null
+   * @param decided when it was decided on; not null
+   */
+  OrderFacts(
+      OrderKnowledge knowledge, BooleanSupplier holdsTerm, TargetId target, UpperTime decided) {
+    this.knowledge = knowledge;
+    this.holdsTerm = holdsTerm;
+    this.target = target;
+    this.decided = decided;
+  }
+
+  @Override
+  public SendFact of(SendCondition condition, UpperTime now) {
+    return switch (condition) {
+      case TERM_HELD ->
+          SendFact.heard(
+              holdsTerm.getAsBoolean(), knowledge.termConfirmed(), knowledge.termMaxAgeMs());
+      case DECISION_RECENT -> SendFact.heard(true, decided, DECISION_MAX_AGE_MS);
+      case TARGET_RUNS -> SendFact.local(!knowledge.hasEnded(target), now);
+      default -> throw new IllegalArgumentException("no condition of an order: " + condition);
+    };
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -4,15 +4,21 @@
 import io.cuminvalve.core.lease.LeaseDesk;
 import io.cuminvalve.core.lease.LeaseOrder;
 import io.cuminvalve.core.lease.OrderOutcome;
+import io.cuminvalve.core.send.SendFacts;
+import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.send.SendKind;
+import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.lease.LeaseControl;
 import io.cuminvalve.ports.lease.OrderReply;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 
@@ -26,6 +32,8 @@
   private static final int MAX_IN_FLIGHT = 60;
 
   private final LeaseControl leases;
+  private final SendGate gate;
+  private final OrderKnowledge knowledge;
   private final ControlThread control;
   private final MillisClock clock;
   private final DecisionLog log;
@@ -35,10 +43,11 @@
   private final Runnable onAnswered;
   private final Map<TargetId, Integer> inFlight = new HashMap<>();
   private int totalInFlight;
-  private boolean closed;
+  private volatile boolean closed;
 
   OrderSender(
       LeaseControl leases,
+      OrderKnowledge knowledge,
       ControlThread control,
       MillisClock clock,
       DecisionLog log,
@@ -47,6 +56,8 @@
       Consumer<TargetId> onLeaving,
       Runnable onAnswered) {
     this.leases = leases;
+    this.gate = new SendGate(clock);
+    this.knowledge = knowledge;
     this.control = control;
     this.clock = clock;
     this.log = log;
@@ -73,10 +84,11 @@
 
   void send(LeaseDesk desk, LeaseOrder order) {
     long sentMs = clock.nowMs();
+    UpperTime decided = clock.upper();
     Optional<String> address = addresses.apply(order.target());
     CompletableFuture<OrderReply> reply =
         address
-            .map(known -> call(known, order))
+            .map(known -> call(known, order, () -> mayBegin(order, decided)))
             .orElseGet(
                 () ->
                     CompletableFuture.completedFuture(
@@ -84,11 +96,21 @@
     reply.thenAcceptAsync(answer -> onReply(desk, order, answer, sentMs), control);
   }
 
-  private CompletableFuture<OrderReply> call(String address, LeaseOrder order) {
+  private CompletableFuture<OrderReply> call(
+      String address, LeaseOrder order, BooleanSupplier mayBegin) {
     if (order instanceof LeaseOrder.Grant grant) {
-      return leases.grant(address, grant);
+      return leases.grant(address, grant, mayBegin);
     }
-    return leases.release(address, (LeaseOrder.Release) order);
+    return leases.release(address, (LeaseOrder.Release) order, mayBegin);
+  }
+
+  /** Called on a thread of the client, once there is a connection. */
+  private boolean mayBegin(LeaseOrder order, UpperTime decided) {
+    SendFacts facts = new OrderFacts(knowledge, () -> !closed, order.target(), decided);
+    Optional<SendObstacle> obstacle = gate.check(SendKind.ORDER, facts);
+    obstacle.ifPresent(
+        found -> log.write("order_withheld", "target={} why={}", order.target(), found.label()));
+    return obstacle.isEmpty();
   }
 
   private void onReply(LeaseDesk desk, LeaseOrder order, OrderReply reply, long sentMs) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
@@ -47,6 +47,7 @@
             clock,
             log,
             List.copyOf(state.current().targets()),
+            state.targetsConfirmed(),
             this::onTargets);
     follower = Optional.of(opened);
     opened.start();
@@ -59,12 +60,18 @@
 
   /** Says how old the known targets are, if they were read here. */
   void confirmTargets() {
-    follower.ifPresent(own -> state.confirmTargets(clock.upper().minusMs(own.ageMs())));
+    follower.ifPresent(own -> state.confirmTargets(own.confirmed()));
+  }
+
+  /** Tells whether the store leaves this gateway without an answer. */
+  boolean isSilent() {
+    return follower.filter(RegistryFollower::isSilent).isPresent();
   }
 
   private void onTargets() {
     follower.ifPresent(
         own -> {
+          state.confirmTargets(own.confirmed());
           List<FleetTarget> targets = own.register().all();
           state.update(snapshot -> snapshot.withTargets(targets));
         });
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -32,19 +32,18 @@
   /** Pause between two calls: a target that leaves must get nothing after 2 s. */
   static final long PACE_MS = 350;
 
-  /**
-   * How long one call waits for a change. A holder whose knowledge is older than {@link
-   * FleetLink#STALE_REGISTRY_MS} passes for cut off, and every gateway asks the registry itself.
-   */
-  private static final long WAIT_MS = 700;
+  /** How long one call waits for a change. */
+  static final long WAIT_MS = 400;
 
   /**
    * After its wait and this long a call is taken for one on a connection that fell silent, and
-   * begun anew on another: with the pace 1.5 s, below the 2 s after which a target that leaves must
-   * get nothing.
+   * begun anew on another.
    */
   private static final long ANSWER_MS = 400;
 
+  /** A store that answers slowly takes less. */
+  static final long SILENT_AFTER_MS = 300;
+
   private static final long RETRY_MS = 250;
 
   /** Entries that lapsed in an outage are back within 2 s of its end; a little more for pace. */
@@ -65,7 +64,10 @@
   private boolean listed;
   private long revision;
   private long epoch;
-  private UpperTime answered;
+  private UpperTime confirmed;
+  private UpperTime called = UpperTime.NEVER;
+  private boolean answerDue;
+  private long dueMs;
   private long keepUntilMs;
   private boolean outageSeen;
   private long callNumber;
@@ -77,22 +79,34 @@
       MillisClock clock,
       DecisionLog log,
       Collection<FleetTarget> known,
+      UpperTime knownAt,
       Runnable onChange) {
     this.registry = registry;
     this.control = control;
     this.clock = clock;
     this.log = log;
     this.onChange = onChange;
-    this.answered = clock.upper();
+    this.confirmed = knownAt;
     register.replaceAll(known, true);
   }
 
   void start() {
     if (!closed) {
-      registry.list().thenAcceptAsync(this::onListed, control);
+      UpperTime sent = noteCall(0);
+      registry.list().thenAcceptAsync(listing -> onListed(listing, sent), control);
     }
   }
 
+  /** What an answer says is at least as new as its call; how long it was under way is not known. */
+  private UpperTime noteCall(long waitMs) {
+    called = clock.upper();
+    if (!answerDue) {
+      answerDue = true;
+      dueMs = clock.nowMs() + waitMs + SILENT_AFTER_MS;
+    }
+    return called;
+  }
+
   void close() {
     closed = true;
   }
@@ -111,12 +125,22 @@
     register.remove(id);
   }
 
-  /** Returns how old the newest answer of the registry is; milliseconds. */
+  /** Returns when what is known was last all that the registry had; not null. */
+  UpperTime confirmed() {
+    return confirmed;
+  }
+
+  /** Returns how old what is known may be; milliseconds. */
   long ageMs() {
-    return clock.upper().sinceMs(answered);
+    return clock.upper().sinceMs(confirmed);
+  }
+
+  /** Tells whether the registry has refused the last call, or left it without an answer. */
+  boolean isSilent() {
+    return outageSeen || (answerDue && clock.nowMs() > dueMs);
   }
 
-  private void onListed(RegistryListing listing) {
+  private void onListed(RegistryListing listing, UpperTime sent) {
     if (closed) {
       return;
     }
@@ -125,10 +149,11 @@
       control.schedule(this::start, RETRY_MS);
       return;
     }
-    onAnswer();
+    onAnswer(sent);
     logUnreadable(listing.unreadable());
     revision = listing.revision();
     noteEpoch(listing.epoch());
+    boolean first = !listed;
     listed = true;
     Set<TargetId> present = new HashSet<>();
     for (FleetTarget target : listing.targets()) {
@@ -144,7 +169,7 @@
         removeAtMs.putIfAbsent(known.id(), Math.max(clock.nowMs(), keepUntilMs));
       }
     }
-    tell(changed | removeDue());
+    tell(first | changed | removeDue());
     control.schedule(this::watch, PACE_MS);
   }
 
@@ -162,7 +187,8 @@
       return;
     }
     long number = ++callNumber;
-    registry.changes(revision, WAIT_MS).thenAcceptAsync(r -> onChanges(number, r), control);
+    UpperTime sent = noteCall(WAIT_MS);
+    registry.changes(revision, WAIT_MS).thenAcceptAsync(r -> onChanges(number, r, sent), control);
     control.schedule(() -> onOverdue(number), WAIT_MS + ANSWER_MS);
   }
 
@@ -177,18 +203,18 @@
    * Takes an answer. That to a call that was begun anew counts too, unless a later one was answered
    * before: a store that is slow all the time would else never be heard.
    */
-  private void onChanges(long number, RegistryChanges changes) {
+  private void onChanges(long number, RegistryChanges changes, UpperTime sent) {
     if (closed || number <= answeredNumber) {
       return;
     }
     if (number != callNumber) {
-      onLateChanges(number, changes);
+      onLateChanges(number, changes, sent);
       return;
     }
     answeredNumber = number;
     switch (changes.status()) {
       case ANSWERED -> {
-        onAnswer();
+        onAnswer(provedBy(changes, sent));
         take(changes);
         control.schedule(this::watch, PACE_MS);
       }
@@ -200,21 +226,30 @@
     }
   }
 
-  private void onLateChanges(long number, RegistryChanges changes) {
+  private void onLateChanges(long number, RegistryChanges changes, UpperTime sent) {
     if (changes.status() == RegistryChanges.Status.ANSWERED) {
       answeredNumber = number;
-      onAnswer();
+      onAnswer(provedBy(changes, sent));
       take(changes);
     }
   }
 
-  private void onAnswer() {
+  /** Without a change the registry looked last when the wait was over. */
+  private UpperTime provedBy(RegistryChanges changes, UpperTime sent) {
+    boolean unchanged = changes.written().isEmpty() && changes.removed().isEmpty();
+    boolean waited = unchanged && clock.upper().sinceMs(sent) >= WAIT_MS;
+    return waited ? sent.plusMs(WAIT_MS) : sent;
+  }
+
+  private void onAnswer(UpperTime proved) {
     if (outageSeen && ageMs() > OUTAGE_MS) {
       keepUntilMs = clock.nowMs() + COMEBACK_MS;
       log.write("registry_regained", "after_ms={}", ageMs());
     }
     outageSeen = false;
-    answered = clock.upper();
+    answerDue = proved.compareTo(called) < 0;
+    dueMs = clock.nowMs() + WAIT_MS + SILENT_AFTER_MS;
+    confirmed = confirmed.latest(proved);
   }
 
   /** Such an entry names no target; what was known of others holds. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -103,7 +103,7 @@
   private boolean candidate;
   private boolean holding;
   private Optional<StoreLeaseId> lease = Optional.empty();
-  private UpperTime confirmed = UpperTime.NEVER;
+  private volatile UpperTime confirmed = UpperTime.NEVER;
   private UpperTime woken = UpperTime.NEVER;
   private long confirmedSuspendedMs;
   private Optional<Long> cameBackMs = Optional.empty();
@@ -249,7 +249,7 @@
   }
 
   /**
-   * Returns when the store last confirmed the term.
+   * Returns when the store last confirmed the term. For any thread.
    *
    * @return never null
    */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -3,7 +3,9 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.router.caller.CallerEndPoint;
+import java.util.Locale;
 import java.util.OptionalInt;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.EndPoint;
@@ -24,8 +26,10 @@
  * @param identity by what it is recognised when it comes again; not null
  * @param headers the header fields to pass on; not null
  * @param body the body; empty if there is none; not null
- * @param arrivedMs when its head was read; milliseconds
+ * @param arrivedMs the earliest time at which it may have arrived; milliseconds
  * @param deadlineMs by when it has to be answered; milliseconds
+ * @param deadline the same by the clock that counts no less time than has passed; not null
+ * @param configurationVersion the version of the configuration by which it was routed
  */
 record CallerRequest(
     Request request,
@@ -39,7 +43,9 @@
     HttpFields headers,
     byte[] body,
     long arrivedMs,
-    long deadlineMs) {
+    long deadlineMs,
+    UpperTime deadline,
+    long configurationVersion) {
 
   /** Calls back once if the caller closes its connection before the answer. */
   void watchCaller(Runnable onGone) {
@@ -50,6 +56,24 @@
     request.addFailureListener(failure -> onGone.run());
   }
 
+  /** Looks whether the caller's connection is open, also if nobody has been told of its end yet. */
+  boolean isCallerPresent() {
+    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    return endPoint instanceof CallerEndPoint watched
+        ? watched.isCallerPresent()
+        : endPoint.isOpen();
+  }
+
+  /** Returns the host that the caller named, in lower case; empty if it named none. */
+  String host() {
+    return hostOf(request);
+  }
+
+  static String hostOf(Request request) {
+    String host = Request.getServerName(request);
+    return host == null ? "" : host.toLowerCase(Locale.ROOT);
+  }
+
   /** Ends the watch, since the answer is about to be written. */
   void unwatchCaller() {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -188,6 +188,11 @@
     }
   }
 
+  /** Tells whether another target has answered at the address of this one. */
+  synchronized boolean isReplaced(TargetId target) {
+    return replaced.contains(target);
+  }
+
   /** Returns the targets found replaced since the last call. */
   synchronized List<TargetId> takeReplaced() {
     List<TargetId> taken = List.copyOf(replacedUnreported);
@@ -280,7 +285,7 @@
         found -> {
           slotsOf(found, snapshot).take();
           wish.placedUnder(snapshot.ownersVersion());
-          return new Slot(found);
+          return new Slot(found, clock.upper());
         });
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.observe.RequestMetrics;
@@ -13,6 +14,9 @@
  *
  * @param state what routing knows; not null
  * @param dispatcher gives slots; not null
+ * @param gate decides at the first byte whether a request may be sent; not null
+ * @param departures tells which targets have said that they leave; not null
+ * @param quotas tells which targets name a limit; not null
  * @param signals reads what targets say in their answers; not null
  * @param rests tells which targets are left alone; not null
  * @param client talks to targets; not null
@@ -30,6 +34,9 @@
 record ExchangeServices(
     RoutingState state,
     Dispatcher dispatcher,
+    SendGate gate,
+    TargetDepartures departures,
+    TargetQuotas quotas,
     SignalReader signals,
     TargetRests rests,
     TargetClient client,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.exchange.ExchangeProfile;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.gateway.observe.RequestOutcome;
 import io.cuminvalve.router.caller.CallerHeaders;
 import io.cuminvalve.router.request.Timers.Cancellable;
@@ -151,6 +152,27 @@
     log("attempt_failed", attempt, reason);
   }
 
+  @Override
+  public void onStopped(TargetAttempt attempt, SendObstacle obstacle) {
+    log("send_stopped", attempt, obstacle.label());
+    switch (obstacle.condition()) {
+      case CALLER_PRESENT -> onCallerGone();
+      case TIME_LEFT -> decide(() -> machine.onDeadline(false));
+      case ROUTE_IN_FORCE, QUARANTINE_CLEAR -> decide(() -> machine.onNoSlot(obstacle.label()));
+      default -> onTargetUnfit(obstacle);
+    }
+  }
+
+  /** Another target may do; while the registry is not known, none does. */
+  private void onTargetUnfit(SendObstacle obstacle) {
+    if (obstacle.outdated()) {
+      decide(() -> machine.onNoSlot(obstacle.label()));
+    } else {
+      long nowMs = services.clock().nowMs();
+      decide(() -> machine.onFailure(false, obstacle.label(), nowMs));
+    }
+  }
+
   private void onDeadline() {
     decide(() -> machine.onDeadline(current != null && !current.preventHandover()));
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -5,8 +5,9 @@
 import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.kernel.UpperTime;
+import io.cuminvalve.router.caller.CallerEndPoint;
 import io.cuminvalve.router.caller.CallerHeaders;
-import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
@@ -30,6 +31,9 @@
   private static final long RETRY_AFTER_MS = 250;
   private static final int KEY_LIMIT = 65_536;
 
+  /** No caller waits for so long. */
+  private static final long LONGEST_WAIT_MS = 3_600_000;
+
   private final ExchangeServices services;
   private final RandomGenerator random;
   private final EarlyRequests early;
@@ -64,24 +68,34 @@
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    long arrivedMs = services.clock().nowMs();
+    UpperTime arrived = arrivalOf(request);
     Optional<RoutingConfiguration> configuration = services.state().current().configuration();
     if (configuration.isPresent()) {
-      route(request, response, callback, configuration.get(), arrivedMs);
+      route(request, response, callback, configuration.get(), arrived);
       return true;
     }
     Runnable refusal =
         () -> refuse(request, response, CallerAnswer.UNAVAILABLE, "no_configuration", callback);
-    boolean held = early.hold(() -> go(request, response, callback, arrivedMs), refusal);
+    boolean held = early.hold(() -> go(request, response, callback, arrived), refusal);
     if (!held) {
       refusal.run();
     }
     return true;
   }
 
-  private void go(Request request, Response response, Callback callback, long arrivedMs) {
+  /** Returns the earliest time at which the request may have reached this host. */
+  private UpperTime arrivalOf(Request request) {
+    UpperTime now = services.clock().upper();
+    if (endPointOf(request) instanceof CallerEndPoint caller) {
+      UpperTime arrived = caller.arrivedAfter(request.getBeginNanoTime());
+      return arrived.latest(now.minusMs(LONGEST_WAIT_MS));
+    }
+    return now;
+  }
+
+  private void go(Request request, Response response, Callback callback, UpperTime arrived) {
     RoutingConfiguration configuration = services.state().current().configuration().orElseThrow();
-    route(request, response, callback, configuration, arrivedMs);
+    route(request, response, callback, configuration, arrived);
   }
 
   private void route(
@@ -89,29 +103,29 @@
       Response response,
       Callback callback,
       RoutingConfiguration configuration,
-      long arrivedMs) {
-    Optional<Route> route = configuration.find(hostOf(request), request.getHttpURI().getPath());
+      UpperTime arrived) {
+    Optional<Route> route =
+        configuration.find(CallerRequest.hostOf(request), request.getHttpURI().getPath());
     if (route.isEmpty()) {
       refuse(request, response, CallerAnswer.NOT_FOUND, "no_route", callback);
       return;
     }
+    if (services.clock().upper().sinceMs(arrived) >= timeMs(request, route.get())) {
+      refuse(request, response, CallerAnswer.UNAVAILABLE, "read_too_late", callback);
+      return;
+    }
     if (request.getLength() > configuration.bounds().maxBodyBytes()) {
       refuse(request, response, CallerAnswer.TOO_LARGE, "body_too_large", callback);
       return;
     }
     busy.add(endPointOf(request));
     if (hasBody(request)) {
-      readBody(request, response, callback, configuration, route.get(), arrivedMs);
+      readBody(request, response, callback, configuration, route.get(), arrived);
     } else {
-      begin(request, response, callback, configuration, route.get(), arrivedMs, new byte[0]);
+      begin(request, response, callback, configuration, route.get(), arrived, new byte[0]);
     }
   }
 
-  private static String hostOf(Request request) {
-    String host = Request.getServerName(request);
-    return host == null ? "" : host.toLowerCase(Locale.ROOT);
-  }
-
   private static boolean hasBody(Request request) {
     return request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
   }
@@ -122,13 +136,13 @@
       Callback callback,
       RoutingConfiguration configuration,
       Route route,
-      long arrivedMs) {
+      UpperTime arrived) {
     int limit = (int) Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
     Content.Source.asByteArrayAsync(request, limit)
         .whenComplete(
             (body, failure) -> {
               if (failure == null) {
-                begin(request, response, callback, configuration, route, arrivedMs, body);
+                begin(request, response, callback, configuration, route, arrived, body);
               } else {
                 busy.remove(endPointOf(request));
                 callback.failed(failure);
@@ -142,7 +156,7 @@
       Callback callback,
       RoutingConfiguration configuration,
       Route route,
-      long arrivedMs,
+      UpperTime arrived,
       byte[] body) {
     ServiceId service = route.choose(random.nextDouble());
     String attemptId = request.getHeaders().get(services.headers().attemptId());
@@ -155,6 +169,8 @@
         return;
       }
     }
+    long timeMs = timeMs(request, route);
+    long arrivedMs = services.clock().nowMs() - services.clock().upper().sinceMs(arrived);
     CallerRequest call =
         new CallerRequest(
             request,
@@ -168,7 +184,9 @@
             CallerHeaders.passedOn(request.getHeaders()),
             body,
             arrivedMs,
-            arrivedMs + Math.min(route.timeoutMs(), callerTimeMs(request, route)));
+            arrivedMs + timeMs,
+            arrived.plusMs(timeMs),
+            configuration.version());
     EndPoint endPoint = endPointOf(request);
     new GatewayExchange(services, call, () -> busy.remove(endPoint)).start();
   }
@@ -176,7 +194,11 @@
   private static RequestIdentity identityOf(Request request, OptionalInt key, byte[] body) {
     RequestFingerprint content =
         RequestFingerprint.of(
-            request.getMethod(), hostOf(request), request.getHttpURI().getPathQuery(), key, body);
+            request.getMethod(),
+            CallerRequest.hostOf(request),
+            request.getHttpURI().getPathQuery(),
+            key,
+            body);
     return new RequestIdentity(content, content.by(Request.getRemoteAddr(request)));
   }
 
@@ -193,6 +215,11 @@
     }
   }
 
+  /** Returns how long after its arrival a request has to be answered; milliseconds. */
+  private long timeMs(Request request, Route route) {
+    return Math.min(route.timeoutMs(), callerTimeMs(request, route));
+  }
+
   private long callerTimeMs(Request request, Route route) {
     String text = request.getHeaders().get(services.headers().deadlineMs());
     if (text == null) {
@@ -213,7 +240,7 @@
             "request_refused",
             "id={} host={} path={} status={} why={}",
             request.getHeaders().get(services.headers().attemptId()),
-            hostOf(request),
+            CallerRequest.hostOf(request),
             request.getHttpURI().getPath(),
             status,
             reason);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.gateway.AnswerDecoder;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -105,6 +106,9 @@
         new ExchangeServices(
             state,
             dispatcher,
+            new SendGate(clock),
+            departures,
+            quotas,
             new SignalReader(answers, quotas, rests, departures, unknownFields, log),
             rests,
             client,
@@ -122,7 +126,7 @@
         new TrafficReports(keyWork, dispatcher, quotas, rests, departures, quarantine, witness);
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
-    this.callers = connector(settings.callerAddress());
+    this.callers = connector(settings.callerAddress(), clock);
     this.readiness = plainConnector(settings.readinessAddress());
     this.scrapes = settings.metricsAddress().map(this::plainConnector);
     Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, handler);
@@ -159,14 +163,15 @@
     return connector;
   }
 
-  private ServerConnector connector(InetSocketAddress address) {
+  private ServerConnector connector(InetSocketAddress address, MillisClock clock) {
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
     http.setRequestHeaderSize(MAX_HEADER_BYTES);
     http.setResponseHeaderSize(MAX_HEADER_BYTES);
     http.setUriCompliance(UriCompliance.UNSAFE);
-    ServerConnector connector = new WatchingConnector(server, new HttpConnectionFactory(http));
+    ServerConnector connector =
+        new WatchingConnector(server, clock, new HttpConnectionFactory(http));
     connector.setHost(address.getHostString());
     connector.setPort(address.getPort());
     connector.setIdleTimeout(CALLER_IDLE_MS);
--- /dev/null
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -0,0 +1,126 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.send.SendCondition;
+import io.cuminvalve.core.send.SendFact;
+import io.cuminvalve.core.send.SendFacts;
+import io.cuminvalve.kernel.UpperTime;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/**
+ * What this gateway knows, at the first byte, of all that may forbid it to send a request.
+ *
+ * <p>What the registry and the configuration say may be old while the store answers nobody: targets
+ * that leave, and operators, cannot tell it either then.
+ */
+final class RequestFacts implements SendFacts {
+
+  /** A target may take requests for 2 s after it has said that it leaves; the way takes some. */
+  static final long TARGETS_MAX_AGE_MS = 1_900;
+
+  /** A configuration has to be in force after 2 s. */
+  static final long CONFIGURATION_MAX_AGE_MS = 1_900;
+
+  /** Permits that were held up would all be used at once. */
+  static final long PERMIT_MAX_AGE_MS = 500;
+
+  private static final long UNBOUNDED_MS = Long.MAX_VALUE;
+
+  private final ExchangeServices services;
+  private final CallerRequest call;
+  private final Slot slot;
+  private final BooleanSupplier open;
+
+  /**
+   * Creates the facts of one attempt.
+   *
+   * @param services where knowledge is kept; not null
+   * @param call the request; not null
+   * @param slot where it goes; not null
+   * @param open whether nobody has given the attempt up; not null
+   */
+  RequestFacts(ExchangeServices services, CallerRequest call, Slot slot, BooleanSupplier open) {
+    this.services = services;
+    this.call = call;
+    this.slot = slot;
+    this.open = open;
+  }
+
+  @Override
+  public SendFact of(SendCondition condition, UpperTime now) {
+    TargetId target = slot.target().id();
+    return switch (condition) {
+      case ATTEMPT_OPEN -> SendFact.local(open.getAsBoolean(), now);
+      case TIME_LEFT -> SendFact.local(call.deadline().sinceMs(now) > 0, now);
+      case TARGET_RUNS -> SendFact.local(!services.dispatcher().isReplaced(target), now);
+      case TARGET_SERVES -> targetServes(target);
+      case TARGET_RESTED -> SendFact.local(services.rests().leftMs(target) == 0, now);
+      case LIMIT_KEPT -> limitKept(target, now);
+      case QUARANTINE_CLEAR ->
+          SendFact.local(services.quarantine().refusedForMs(call.identity()) == 0, now);
+      case KEY_OWNED -> SendFact.local(isOwner(target), now);
+      case ROUTE_IN_FORCE -> routeInForce();
+      case CALLER_PRESENT -> SendFact.local(call.isCallerPresent(), now);
+      case TERM_HELD, DECISION_RECENT ->
+          throw new IllegalArgumentException("no condition of a request: " + condition);
+    };
+  }
+
+  private SendFact targetServes(TargetId target) {
+    boolean serves =
+        services.state().current().target(target).filter(FleetTarget::isReady).isPresent()
+            && !services.departures().isLeaving(target);
+    return SendFact.heard(
+        serves, services.state().targetsConfirmed(), unlessSilent(TARGETS_MAX_AGE_MS));
+  }
+
+  private SendFact limitKept(TargetId target, UpperTime now) {
+    return services.quotas().isLimited(target)
+        ? SendFact.heard(true, slot.givenAt(), PERMIT_MAX_AGE_MS)
+        : SendFact.local(true, now);
+  }
+
+  private boolean isOwner(TargetId target) {
+    if (call.key().isEmpty()) {
+      return true;
+    }
+    return services
+        .state()
+        .current()
+        .owners(call.service())
+        .flatMap(owners -> owners.find(call.key().getAsInt()))
+        .filter(RangeRoute::open)
+        .filter(range -> range.owner().equals(target))
+        .isPresent();
+  }
+
+  private SendFact routeInForce() {
+    Optional<RoutingConfiguration> known = services.state().current().configuration();
+    boolean inForce =
+        known
+            .filter(
+                configuration ->
+                    configuration.version() == call.configurationVersion()
+                        || leadsToService(configuration))
+            .isPresent();
+    return SendFact.heard(
+        inForce, services.state().configurationConfirmed(), unlessSilent(CONFIGURATION_MAX_AGE_MS));
+  }
+
+  private boolean leadsToService(RoutingConfiguration configuration) {
+    return configuration
+        .find(call.host(), call.request().getHttpURI().getPath())
+        .filter(
+            route ->
+                route.services().stream().anyMatch(part -> part.service().equals(call.service())))
+        .isPresent();
+  }
+
+  private long unlessSilent(long maxAgeMs) {
+    return services.state().isStoreSilent() ? UNBOUNDED_MS : maxAgeMs;
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
@@ -90,7 +90,8 @@
     Map<TargetId, FleetTarget> byId = new HashMap<>();
     Map<ServiceId, List<FleetTarget>> ready = new HashMap<>();
     for (FleetTarget entry : registered) {
-      FleetTarget target = nextLeaving.contains(entry.id()) ? entry.leaving() : entry;
+      boolean leaves = nextLeaving.contains(entry.id()) || isLeaving(entry.id());
+      FleetTarget target = leaves ? entry.leaving() : entry;
       byId.put(target.id(), target);
       if (target.isReady()) {
         ready.computeIfAbsent(target.service(), id -> new ArrayList<>()).add(target);
@@ -100,6 +101,12 @@
         configuration, nextLeaving, byId, ready, owners, ownersVersion, processes);
   }
 
+  /** A run never takes requests again: whoever says so knows less. */
+  private boolean isLeaving(TargetId id) {
+    FleetTarget known = targets.get(id);
+    return known != null && !known.isReady();
+  }
+
   /**
    * Returns a snapshot with other owners.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 
 /**
@@ -17,6 +19,8 @@
   private volatile RoutingSnapshot snapshot;
   private volatile UpperTime targetsConfirmed = UpperTime.NEVER;
   private volatile OptionalLong movesHeldUpSinceMs = OptionalLong.empty();
+  private volatile Supplier<UpperTime> configurationConfirmed = () -> UpperTime.NEVER;
+  private volatile BooleanSupplier storeSilent = () -> false;
 
   /**
    * Creates the state of a process that knows nothing.
@@ -64,6 +68,37 @@
     return targetsConfirmed;
   }
 
+  /**
+   * Sets who knows how old the configuration is and whether the store answers this process.
+   *
+   * @param confirmed returns when the configuration known was last the newest one; for any thread;
+   *     not null
+   * @param silent tells whether the store has refused, or left without an answer, what this process
+   *     asked last; for any thread; not null
+   */
+  public void watch(Supplier<UpperTime> confirmed, BooleanSupplier silent) {
+    configurationConfirmed = confirmed;
+    storeSilent = silent;
+  }
+
+  /**
+   * Returns when the configuration known was last the newest one.
+   *
+   * @return {@link UpperTime#NEVER} if it never was; never null
+   */
+  public UpperTime configurationConfirmed() {
+    return configurationConfirmed.get();
+  }
+
+  /**
+   * Tells whether the store has refused, or left without an answer, what this process asked last.
+   *
+   * @return false also if nothing was asked
+   */
+  public boolean isStoreSilent() {
+    return storeSilent.getAsBoolean();
+  }
+
   /**
    * Notes whether keys can move: a move has to be written in the store first.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -2,12 +2,17 @@
 
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetSignals;
+import io.cuminvalve.core.send.SendFacts;
+import io.cuminvalve.core.send.SendKind;
+import io.cuminvalve.core.send.SendObstacle;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.router.target.TargetAnswer;
 import io.cuminvalve.router.target.TargetExchange;
 import io.cuminvalve.router.target.TargetListener;
 import io.cuminvalve.router.target.TargetRequest;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
@@ -32,6 +37,9 @@
     /** The target proves that it did not run the request and never will. */
     void onNotExecuted(TargetAttempt attempt, int status);
 
+    /** Not a byte was sent, and none will be: something forbade it at the last moment. */
+    void onStopped(TargetAttempt attempt, SendObstacle obstacle);
+
     /** No usable answer. */
     void onFailure(TargetAttempt attempt, boolean mayHaveRun, String reason);
   }
@@ -53,8 +61,8 @@
   private volatile AttemptEnd end = AttemptEnd.GIVEN_UP;
   private volatile long sentMs;
 
-  /** Not sent, since the target asked for rest while the attempt waited for a connection. */
-  private volatile boolean held;
+  /** What forbade it to send the first byte. */
+  private volatile Optional<SendObstacle> obstacle = Optional.empty();
 
   TargetAttempt(
       ExchangeServices services,
@@ -120,15 +128,13 @@
   @Override
   public boolean onConnection(HttpFields.Mutable headers) {
     sentMs = services.clock().nowMs();
-    long remainingMs = call.deadlineMs() - sentMs;
-    if (ended.get() || remainingMs <= 0) {
-      return false;
-    }
-    if (services.rests().leftMs(slot.target().id()) > 0) {
-      held = true;
+    SendFacts facts = new RequestFacts(services, call, slot, () -> !ended.get());
+    obstacle = services.gate().check(SendKind.REQUEST, facts);
+    if (obstacle.isPresent()) {
       return false;
     }
-    headers.put(services.headers().deadlineMs(), remainingMs);
+    UpperTime now = services.clock().upper();
+    headers.put(services.headers().deadlineMs(), Math.max(1, call.deadline().sinceMs(now)));
     return handover.begin();
   }
 
@@ -210,9 +216,14 @@
   }
 
   private void fail(boolean mayHaveRun, String reason) {
-    if (ended.compareAndSet(false, true)) {
-      end = held ? AttemptEnd.GIVEN_UP : AttemptEnd.NO_ANSWER;
-      listener.onFailure(this, mayHaveRun, held ? "target_resting" : reason);
+    if (!ended.compareAndSet(false, true)) {
+      return;
+    }
+    if (obstacle.isPresent()) {
+      listener.onStopped(this, obstacle.get());
+    } else {
+      end = AttemptEnd.NO_ANSWER;
+      listener.onFailure(this, mayHaveRun, reason);
     }
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FirstLookTest.java
@@ -16,6 +16,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.fleet.RegistryChanges;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.fleet.TargetRegistry;
@@ -29,6 +30,7 @@
 
 class FirstLookTest {
 
+  private static final long ASKED_MS = 7;
   private static final ServiceId SERVICE = new ServiceId("core");
   private static final TargetId A = new TargetId("a");
   private static final TargetId B = new TargetId("b");
@@ -39,6 +41,7 @@
   private final RecordCodec codec = new RecordCodec();
   private final ControlThread control = new ControlThread("test", FailureHandler.logging());
   private final CompletableFuture<List<FleetTarget>> targets = new CompletableFuture<>();
+  private final CompletableFuture<Void> noTargets = new CompletableFuture<>();
   private final CompletableFuture<List<ServiceRanges>> owners = new CompletableFuture<>();
 
   @AfterEach
@@ -64,6 +67,7 @@
   void whatTheStoreDoesNotTellIsNotGuessed() {
     look(false);
     assertThat(targets.isDone()).isFalse();
+    assertThat(noTargets.isDone()).isTrue();
     assertThat(owners.isDone()).isFalse();
   }
 
@@ -83,7 +87,7 @@
     GatewayPorts ports =
         new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null, null);
     DecisionLog log = new DecisionLog(() -> 0, 100, line -> {});
-    FirstLook look = new FirstLook(ports, control, log, codec, new Findings());
+    FirstLook look = new FirstLook(ports, control, () -> ASKED_MS, log, codec, new Findings());
     control.execute(look::readOwners);
     control.execute(look::listTargets);
     for (int turn = 0; turn < 5; turn++) {
@@ -97,10 +101,16 @@
   private final class Findings implements FirstLook.Listener {
 
     @Override
-    public void onTargets(List<FleetTarget> found) {
+    public void onTargets(List<FleetTarget> found, UpperTime asOf) {
+      assertThat(asOf).isEqualTo(new UpperTime(ASKED_MS));
       targets.complete(found);
     }
 
+    @Override
+    public void onNoTargets() {
+      noTargets.complete(null);
+    }
+
     @Override
     public void onOwners(List<ServiceRanges> found) {
       owners.complete(found);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
@@ -14,6 +14,7 @@
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -55,8 +56,8 @@
     hear(holder.publishTargets(5, 2, List.of(target(A), target(B))));
     assertThat(other.routes().services()).isEqualTo(holder.routes().services());
     assertThat(other.targets().targets()).containsExactly(target(A), target(B));
-    assertThat(other.hello("x", "dc", 1, 0, 0, 0, 0))
-        .isEqualTo(holder.hello("x", "dc", 1, 0, 0, 0, 0));
+    assertThat(other.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0))
+        .isEqualTo(holder.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0));
   }
 
   @Test
@@ -79,7 +80,7 @@
   void distrustedTargetsAreAskedForAgainAndStayInUse() {
     hear(holder.publishTargets(5, 1, List.of(target(A))));
     other.distrustTargets();
-    assertThat(other.hello("x", "dc", 1, 0, 0, 0, 0).targetsTerm()).isEqualTo(0);
+    assertThat(other.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0).targetsTerm()).isEqualTo(0);
     assertThat(other.targets().targets()).containsExactly(target(A));
   }
 
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
@@ -0,0 +1,85 @@
+package io.cuminvalve.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.send.SendCondition;
+import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.send.SendKind;
+import io.cuminvalve.core.send.SendObstacle;
+import io.cuminvalve.kernel.UpperTime;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Orders that are decided on in time and begin late. */
+class OrderFactsTest {
+
+  private static final TargetId TARGET = new TargetId("a");
+  private static final long GRACE_MS = 9_500;
+  private static final long STEP_MS = 2_000;
+
+  private long nowMs = 50_000;
+  private boolean holdsTerm = true;
+  private UpperTime confirmed = new UpperTime(nowMs);
+  private UpperTime decided = new UpperTime(nowMs);
+  private final Set<TargetId> ended = new HashSet<>();
+  private final SendGate gate = new SendGate(() -> nowMs);
+
+  private Optional<SendObstacle> check() {
+    return gate.check(
+        SendKind.ORDER, new OrderFacts(new Knowledge(), () -> holdsTerm, TARGET, decided));
+  }
+
+  @Test
+  void ordersThatBeginAtOnceAreSent() {
+    assertThat(check()).isEmpty();
+  }
+
+  /** The connection takes 2 s: what was decided then may have been decided otherwise since. */
+  @Test
+  void ordersThatBeginLateAreNotSent() {
+    nowMs += STEP_MS;
+    assertThat(check()).hasValue(new SendObstacle(SendCondition.DECISION_RECENT, true));
+  }
+
+  @Test
+  void nothingIsSentInATermThatIsOver() {
+    holdsTerm = false;
+    assertThat(check()).hasValue(new SendObstacle(SendCondition.TERM_HELD, false));
+  }
+
+  @Test
+  void nothingIsSentInATermThatWasNotConfirmedForTooLong() {
+    nowMs += GRACE_MS + 1;
+    decided = new UpperTime(nowMs);
+    assertThat(check()).hasValue(new SendObstacle(SendCondition.TERM_HELD, true));
+    confirmed = new UpperTime(nowMs);
+    assertThat(check()).isEmpty();
+  }
+
+  @Test
+  void nothingIsSentToARunThatHasEndedMeanwhile() {
+    ended.add(TARGET);
+    assertThat(check()).hasValue(new SendObstacle(SendCondition.TARGET_RUNS, false));
+  }
+
+  private final class Knowledge implements OrderKnowledge {
+
+    @Override
+    public UpperTime termConfirmed() {
+      return confirmed;
+    }
+
+    @Override
+    public long termMaxAgeMs() {
+      return GRACE_MS;
+    }
+
+    @Override
+    public boolean hasEnded(TargetId target) {
+      return ended.contains(target);
+    }
+  }
+}
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryFollowerTest.java
@@ -10,6 +10,7 @@
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.fleet.RegistryChanges;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.fleet.TargetRegistry;
@@ -36,6 +37,7 @@
           nowMs::get,
           new DecisionLog(() -> 0, 100, line -> {}),
           List.of(),
+          UpperTime.NEVER,
           () -> news.add("change"));
 
   @AfterEach
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StoreCallsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StoreCallsTest.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.gateway.observe.StoreCallMetrics;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.fleet.RegistryChanges;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.fleet.TargetRegistry;
@@ -113,7 +114,8 @@
     KeyFollower configuration = newFollower(store, "configuration");
     KeyFollower term = newFollower(store, "term");
     RegistryFollower registry =
-        new RegistryFollower(new GuardedRegistry(store), control, clock, log, List.of(), () -> {});
+        new RegistryFollower(
+            new GuardedRegistry(store), control, clock, log, List.of(), UpperTime.NEVER, () -> {});
     control.execute(configuration::start);
     control.execute(term::start);
     control.execute(registry::start);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/SubscribersTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/SubscribersTest.java
@@ -89,7 +89,7 @@
 
   private static FleetHello hello(long term, long routesVersion) {
     return new FleetHello(
-        "gateway-1", term, term == 0 ? 0 : 1, term, routesVersion, 0, "dc", 1, 0, 0, 0);
+        "gateway-1", term, term == 0 ? 0 : 1, term, routesVersion, 0, "dc", 1, 0, 0, 0, 0);
   }
 
   /** Keeps what is sent. */
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WaitBoundsTest.java
@@ -15,6 +15,7 @@
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.fleet.RegistryChanges;
 import io.cuminvalve.ports.fleet.RegistryListing;
 import io.cuminvalve.ports.fleet.TargetRegistry;
@@ -297,7 +298,7 @@
           }
         };
     RegistryFollower follower =
-        new RegistryFollower(registry, control, clock, log, List.of(), () -> {});
+        new RegistryFollower(registry, control, clock, log, List.of(), UpperTime.NEVER, () -> {});
     control.execute(follower::start);
     clock.advance(RegistryFollower.PACE_MS);
     clock.advance(IN_FORCE_MS);
@@ -332,7 +333,7 @@
           }
         };
     RegistryFollower follower =
-        new RegistryFollower(registry, control, clock, log, List.of(), () -> {});
+        new RegistryFollower(registry, control, clock, log, List.of(), UpperTime.NEVER, () -> {});
     control.execute(follower::start);
     clock.advance(10_000);
     int heard = follower.register().all().size();
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
@@ -129,6 +130,38 @@
     return send(newRequest(method, url, headers, contentType, body), timeoutMs);
   }
 
+  /**
+   * Makes the same call, unless something forbids it right before its first byte: a connection may
+   * have been long in coming.
+   *
+   * @param method the HTTP method; not null
+   * @param url where to; not null
+   * @param headers by name, besides those that every call has; not null
+   * @param contentType the media type of the body; not null
+   * @param body the body; not null
+   * @param timeoutMs bound on the whole call; milliseconds
+   * @param mayBegin tells whether it may still be sent; called on a thread of the client; not null
+   * @return never null
+   */
+  public CompletableFuture<HttpAnswer> callIf(
+      String method,
+      String url,
+      Map<String, String> headers,
+      String contentType,
+      byte[] body,
+      long timeoutMs,
+      BooleanSupplier mayBegin) {
+    Request request = newRequest(method, url, headers, contentType, body);
+    request.onRequestBegin(begun -> withholdUnless(begun, mayBegin.getAsBoolean()));
+    return send(request, timeoutMs);
+  }
+
+  private static void withholdUnless(Request request, boolean allowed) {
+    if (!allowed) {
+      request.abort(new WithheldException());
+    }
+  }
+
   /**
    * Makes the same call, but only over a connection on which an earlier call was answered. If there
    * is none, nothing is sent.
@@ -139,6 +172,7 @@
    * @param contentType the media type of the body; not null
    * @param body the body; not null
    * @param timeoutMs bound on the whole call; milliseconds
+   * @param mayBegin tells whether it may still be sent; called on a thread of the client; not null
    * @return never null
    */
   public CompletableFuture<HttpAnswer> callOverKnownConnection(
@@ -147,19 +181,17 @@
       Map<String, String> headers,
       String contentType,
       byte[] body,
-      long timeoutMs) {
+      long timeoutMs,
+      BooleanSupplier mayBegin) {
     Request request = newRequest(method, url, headers, contentType, body);
-    request.onRequestBegin(HttpCaller::abortOnNewConnection);
+    request.onRequestBegin(
+        begun -> withholdUnless(begun, isOnKnownConnection(begun) && mayBegin.getAsBoolean()));
     return send(request, timeoutMs);
   }
 
-  private static void abortOnNewConnection(Request request) {
-    boolean known =
-        request.getConnection() instanceof org.eclipse.jetty.io.Connection used
-            && used.getMessagesIn() > 0;
-    if (!known) {
-      request.abort(new UnknownConnectionException());
-    }
+  private static boolean isOnKnownConnection(Request request) {
+    return request.getConnection() instanceof org.eclipse.jetty.io.Connection used
+        && used.getMessagesIn() > 0;
   }
 
   private Request newRequest(
@@ -217,7 +249,7 @@
     if (isRefused(result.getFailure())) {
       return HttpAnswer.failed(HttpAnswer.Kind.REFUSED);
     }
-    if (!begun || result.getFailure() instanceof UnknownConnectionException) {
+    if (!begun || result.getFailure() instanceof WithheldException) {
       return HttpAnswer.failed(HttpAnswer.Kind.NOT_SENT);
     }
     boolean late = result.getFailure() instanceof TimeoutException;
@@ -234,13 +266,13 @@
     return false;
   }
 
-  /** Nothing was sent: no call was answered yet on the connection at hand. */
-  private static final class UnknownConnectionException extends RuntimeException {
+  /** Nothing was sent: something forbade it when there was a connection. */
+  private static final class WithheldException extends RuntimeException {
 
     private static final long serialVersionUID = 1;
 
-    UnknownConnectionException() {
-      super("no call was answered on this connection", null, false, false);
+    WithheldException() {
+      super("withheld before the first byte", null, false, false);
     }
   }
 }
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/LeaseControl.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/lease/LeaseControl.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.lease.LeaseOrder;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 
 /**
  * Port to the targets, to grant and release leases of key ranges.
@@ -20,16 +21,21 @@
    *
    * @param address IP address and port of the target; not null
    * @param order what to grant; not null
+   * @param mayBegin looked at right before the first byte, on any thread: if false, nothing is
+   *     sent; not null
    * @return never null
    */
-  CompletableFuture<OrderReply> grant(String address, LeaseOrder.Grant order);
+  CompletableFuture<OrderReply> grant(
+      String address, LeaseOrder.Grant order, BooleanSupplier mayBegin);
 
   /**
    * Ends a lease. The target answers when the work on its keys has ended.
    *
    * @param address IP address and port of the target; not null
    * @param order what to release; not null
+   * @param mayBegin as for a grant; not null
    * @return never null
    */
-  CompletableFuture<OrderReply> release(String address, LeaseOrder.Release order);
+  CompletableFuture<OrderReply> release(
+      String address, LeaseOrder.Release order, BooleanSupplier mayBegin);
 }
--- a/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
@@ -113,7 +113,28 @@
   private CompletableFuture<HttpAnswer> callOverKnownConnection() {
     String url = "http://127.0.0.1:" + server.getLocalPort() + "/known";
     return caller.callOverKnownConnection(
-        "POST", url, Map.of(), "text/plain", new byte[0], BOUND_MS);
+        "POST", url, Map.of(), "text/plain", new byte[0], BOUND_MS, () -> true);
+  }
+
+  /** An order whose connection came late went out although it had been forbidden meanwhile. */
+  @Test
+  void whatIsForbiddenOnceThereIsAConnectionIsNotSent() throws IOException {
+    String url = "http://127.0.0.1:" + server.getLocalPort() + "/late";
+    CompletableFuture<HttpAnswer> withheld =
+        caller.callIf("POST", url, Map.of(), "text/plain", new byte[0], BOUND_MS, () -> false);
+    try (Socket connection = server.accept()) {
+      assertThat(withheld.join().kind()).isEqualTo(HttpAnswer.Kind.NOT_SENT);
+      assertThat(firstByteOf(connection)).isEqualTo(-1);
+    }
+  }
+
+  /** Returns -1 also if the connection was reset before any. */
+  private static int firstByteOf(Socket connection) throws IOException {
+    try {
+      return connection.getInputStream().read();
+    } catch (SocketException reset) {
+      return -1;
+    }
   }
 
   @Test
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -1,15 +1,17 @@
 package io.cuminvalve.router.caller;
 
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
-import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.NanoTime;
 import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
@@ -27,6 +29,9 @@
   private static final int HELD_BYTES = 1024;
 
   private final Executor executor;
+  private final MillisClock clock;
+  private final PolledSelector selector;
+  private final ArrivalBounds arrivals;
   private final Object lock = new Object();
   private final ByteBuffer held = BufferUtil.allocate(HELD_BYTES);
   private boolean watching;
@@ -34,14 +39,54 @@
   private Callback reader;
   private Runnable onGone = () -> {};
 
+  /** How many looks of the selector had begun when its interest was set last. */
+  private long pollsAtInterest;
+
   CallerEndPoint(
       SocketChannel channel,
-      ManagedSelector selector,
+      PolledSelector selector,
       SelectionKey key,
       Scheduler scheduler,
-      Executor executor) {
+      Executor executor,
+      MillisClock clock,
+      UpperTime acceptedAfter) {
     super(channel, selector, key, scheduler);
     this.executor = executor;
+    this.clock = clock;
+    this.selector = selector;
+    this.arrivals = new ArrivalBounds(acceptedAfter);
+  }
+
+  /**
+   * Returns a moment before which no byte of a request had arrived, however late it was accepted or
+   * read.
+   *
+   * @param firstByteNs when its first byte was parsed; a reading of the nanosecond clock
+   * @return {@link UpperTime#NEVER} if that is not known; never null
+   */
+  public UpperTime arrivedAfter(long firstByteNs) {
+    synchronized (lock) {
+      return arrivals.arrivedAfter(firstByteNs);
+    }
+  }
+
+  /**
+   * Looks whether the caller has ended the stream, also if nobody has been told of it yet. Reads
+   * only what nobody else waits for, so it can tell nothing of a connection that is not watched.
+   *
+   * @return false if the caller is gone
+   */
+  public boolean isCallerPresent() {
+    synchronized (lock) {
+      if (watching && reader == null && !endSeen && !BufferUtil.isFull(held)) {
+        try {
+          endSeen = read(held) < 0;
+        } catch (IOException broken) {
+          endSeen = true;
+        }
+      }
+      return !endSeen && isOpen();
+    }
   }
 
   /**
@@ -50,12 +95,17 @@
    * @param callback called at most once, if the caller goes away first; not null
    */
   public void watch(Runnable callback) {
+    boolean gone;
     synchronized (lock) {
       onGone = callback;
+      gone = endSeen;
       if (!watching && !BufferUtil.hasContent(held) && !endSeen) {
         watching = super.tryFillInterested(new Watch());
       }
     }
+    if (gone) {
+      callback.run();
+    }
   }
 
   /** Stops telling; called when the request has its outcome. */
@@ -71,7 +121,38 @@
       if (BufferUtil.hasContent(held)) {
         return BufferUtil.append(buffer, held);
       }
-      return endSeen ? -1 : super.fill(buffer);
+      return endSeen ? -1 : read(buffer);
+    }
+  }
+
+  private int read(ByteBuffer buffer) throws IOException {
+    UpperTime now = clock.upper();
+    long nowNs = NanoTime.now();
+    int read = super.fill(buffer);
+    if (read == 0) {
+      arrivals.onEmpty(now);
+    } else if (read > 0) {
+      arrivals.onBytes(nowNs);
+    }
+    return read;
+  }
+
+  /** A connection that the last but one look was to select, and did not, was empty then. */
+  @Override
+  public Runnable onSelected() {
+    synchronized (lock) {
+      if (pollsAtInterest <= selector.polls() - 2) {
+        arrivals.onEmpty(selector.previous());
+      }
+    }
+    return super.onSelected();
+  }
+
+  @Override
+  public void updateKey() {
+    super.updateKey();
+    synchronized (lock) {
+      pollsAtInterest = selector.polls();
     }
   }
 
@@ -97,14 +178,14 @@
   /** Returns whether the reader will be called by the watch or from what it has read. */
   private boolean takeInterest(Callback callback) {
     synchronized (lock) {
-      if (watching) {
-        reader = callback;
-        return true;
-      }
       if (BufferUtil.hasContent(held) || endSeen) {
         executor.execute(callback::succeeded);
         return true;
       }
+      if (watching) {
+        reader = callback;
+        return true;
+      }
       return false;
     }
   }
@@ -128,7 +209,7 @@
 
   private Runnable readAhead() {
     try {
-      int read = super.fill(held);
+      int read = read(held);
       endSeen = read < 0;
       if (read == 0) {
         watching = super.tryFillInterested(new Watch());
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerServer.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.ManagedService;
+import io.cuminvalve.kernel.MillisClock;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutionException;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
@@ -48,7 +49,10 @@
     http.setResponseHeaderSize(limits.maxHeaderBytes());
     this.connector =
         new WatchingConnector(
-            server, new HttpConnectionFactory(http), new HTTP2CServerConnectionFactory(http));
+            server,
+            MillisClock.system(),
+            new HttpConnectionFactory(http),
+            new HTTP2CServerConnectionFactory(http));
     connector.setHost(address.getHostString());
     connector.setPort(address.getPort());
     connector.setIdleTimeout(IDLE_TIMEOUT_MS);
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/WatchingConnector.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/WatchingConnector.java
@@ -1,36 +1,103 @@
 package io.cuminvalve.router.caller;
 
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
+import java.io.IOException;
+import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.server.ConnectionFactory;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.thread.Scheduler;
 
 /**
  * Accepts callers' connections and makes each of them a {@link CallerEndPoint}.
  *
+ * <p>One selector accepts and reads: so it is known since when a connection may have waited to be
+ * accepted, and since when bytes may have waited to be read.
+ *
  * @since 0.2
  */
 public final class WatchingConnector extends ServerConnector {
 
+  /** The selector accepts. */
+  private static final int NO_ACCEPTORS = 0;
+
+  private final MillisClock clock;
+  private final Map<SelectableChannel, UpperTime> acceptedAfter = new ConcurrentHashMap<>();
+  private volatile UpperTime nothingToAccept = UpperTime.NEVER;
+
   /**
    * Creates a connector.
    *
    * @param server the server that it belongs to; not null
+   * @param clock the time; not null
    * @param protocols what callers may speak, the first one by default; not null
    */
-  public WatchingConnector(Server server, ConnectionFactory... protocols) {
-    super(server, protocols);
+  public WatchingConnector(Server server, MillisClock clock, ConnectionFactory... protocols) {
+    super(server, NO_ACCEPTORS, 1, protocols);
+    this.clock = clock;
+  }
+
+  /** Nobody can have connected before there is a port. */
+  @Override
+  public void open() throws IOException {
+    nothingToAccept = clock.upper();
+    super.open();
+  }
+
+  @Override
+  protected SelectorManager newSelectorManager(
+      Executor executor, Scheduler scheduler, int selectors) {
+    return new Manager(executor, scheduler, selectors);
   }
 
   @Override
   protected SocketChannelEndPoint newEndPoint(
       SocketChannel channel, ManagedSelector selector, SelectionKey key) {
+    UpperTime after = acceptedAfter.remove(channel);
     CallerEndPoint endPoint =
-        new CallerEndPoint(channel, selector, key, getScheduler(), getExecutor());
+        new CallerEndPoint(
+            channel,
+            (PolledSelector) selector,
+            key,
+            getScheduler(),
+            getExecutor(),
+            clock,
+            after == null ? UpperTime.NEVER : after);
     endPoint.setIdleTimeout(getIdleTimeout());
     return endPoint;
   }
+
+  /** Notes for each connection when there was last none that waited to be accepted. */
+  private final class Manager extends ServerConnectorManager {
+
+    Manager(Executor executor, Scheduler scheduler, int selectors) {
+      super(executor, scheduler, selectors);
+    }
+
+    @Override
+    protected ManagedSelector newSelector(int id) {
+      return new PolledSelector(this, id, clock, at -> nothingToAccept = at);
+    }
+
+    @Override
+    protected SelectableChannel doAccept(SelectableChannel listener) throws IOException {
+      UpperTime now = clock.upper();
+      SelectableChannel accepted = super.doAccept(listener);
+      if (accepted == null) {
+        nothingToAccept = now;
+      } else {
+        acceptedAfter.put(accepted, nothingToAccept);
+      }
+      return accepted;
+    }
+  }
 }
