--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
@@ -0,0 +1,96 @@
+package io.cuminvalve.gateway.control;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+import static io.cuminvalve.gateway.control.FollowingGateway.A;
+import static io.cuminvalve.gateway.control.FollowingGateway.target;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.testkit.time.VirtualClock;
+import io.cuminvalve.testkit.time.VirtualExecutor;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Whoever does not know of a change knows that what it knows is at least as old as the change. */
+class RegistryAgeTest {
+
+  private static final long WATCHED_MS = 10_000;
+
+  private final VirtualClock clock = new VirtualClock(10_000);
+  private final VirtualClock controlClock = new VirtualClock(10_000);
+  private final VirtualRegistry registry = new VirtualRegistry(clock);
+  private final VirtualRegistry.Reader reader = registry.new Reader();
+
+  private RegistryFollower follower(VirtualClock runs) {
+    ControlThread control =
+        new ControlThread("test", FailureHandler.logging(), new VirtualExecutor(runs));
+    registry.put(target(A, TargetPhase.READY));
+    RegistryFollower follower =
+        new RegistryFollower(
+            reader, control, clock, new DecisionLog(clock, 1, line -> {}), List.of(), () -> {});
+    control.execute(follower::start);
+    return follower;
+  }
+
+  /** Returns by how much the age was given too low, at worst, from the departure on. */
+  private long worstErrorMs(RegistryFollower follower, VirtualClock runs) {
+    registry.put(target(A, TargetPhase.DRAINING));
+    final long leftMs = clock.nowMs();
+    long worst = 0;
+    for (long ms = 0; ms < WATCHED_MS; ms++) {
+      clock.advance(1);
+      runs.advance(0);
+      boolean known = !follower.register().find(A).map(FleetTarget::isReady).orElse(true);
+      if (!known) {
+        worst = Math.max(worst, clock.nowMs() - leftMs - follower.ageMs());
+      }
+    }
+    return worst;
+  }
+
+  /** Guards against an answer that was made long ago and counts as new. */
+  @Test
+  void answersThatWereHeldUpAreOld() {
+    RegistryFollower follower = follower(clock);
+    clock.advance(3_000);
+    reader.setAnswerMs(2_600);
+    clock.advance(10_000);
+    assertWithMessage("the age is too low by, ms")
+        .that(worstErrorMs(follower, clock))
+        .isAtMost(0);
+  }
+
+  /** Guards against one that has heard nothing yet and passes for one that knows. */
+  @Test
+  void whoHasHeardNothingIsNotFresh() {
+    reader.setRefused(true);
+    RegistryFollower follower = follower(clock);
+    clock.advance(1_000);
+    assertWithMessage("age given by one that never had an answer")
+        .that(follower.ageMs())
+        .isGreaterThan(FleetLink.STALE_REGISTRY_MS);
+  }
+
+  /** Guards against an answer that waited for a control thread that was busy. */
+  @Test
+  void answersThatWaitedForTheControlThreadAreOld() {
+    RegistryFollower follower = follower(controlClock);
+    for (int ms = 0; ms < 5_000; ms++) {
+      clock.advance(1);
+      controlClock.advance(1);
+    }
+    // An answer without the departure arrives within a second and waits for the thread.
+    clock.advance(1_000);
+    registry.put(target(A, TargetPhase.DRAINING));
+    final long leftMs = clock.nowMs();
+    clock.advance(3_000);
+    controlClock.advance(0);
+    boolean known = !follower.register().find(A).map(FleetTarget::isReady).orElse(true);
+    if (!known) {
+      assertWithMessage("age given").that(follower.ageMs()).isAtLeast(clock.nowMs() - leftMs);
+    }
+  }
+}
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
@@ -0,0 +1,187 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetSignals;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.route.WeightedService;
+import io.cuminvalve.gateway.RequestHeaders;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.router.request.Timers;
+import io.cuminvalve.router.target.TargetClient;
+import io.cuminvalve.router.target.TargetClientLimits;
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.server.Request;
+
+/** The traffic of a gateway up to the first byte of a request, without sockets. */
+public final class SendingGateway {
+
+  public static final ServiceId SERVICE = new ServiceId("core");
+  public static final DataCentreId HERE = new DataCentreId("here");
+
+  private static final long DEADLINE_MS = 1_000_000_000;
+
+  private final MillisClock clock;
+  private final Dispatcher dispatcher;
+  private final ExchangeServices services;
+  private final TrafficReports reports;
+
+  /** Creates the traffic of a gateway; its timers never run. */
+  public SendingGateway(RoutingState state, MillisClock clock) {
+    this.clock = clock;
+    DecisionLog log = new DecisionLog(clock, 1, line -> {});
+    Timers timers = (task, delayMs) -> () -> {};
+    TargetQuotas quotas = new TargetQuotas(clock, log, timers, new SplittableRandom(1));
+    TargetRests rests = new TargetRests(clock, timers, new SplittableRandom(2), log);
+    TargetDepartures departures = new TargetDepartures(state);
+    KeyWorkMeter keyWork = new KeyWorkMeter();
+    RequestQuarantine quarantine = new RequestQuarantine(clock);
+    CrashWitness witness = new CrashWitness(state, null, timers, clock);
+    this.dispatcher = new Dispatcher(state, HERE, clock, new SplittableRandom(3), quotas, rests);
+    this.services =
+        new ExchangeServices(
+            state,
+            dispatcher,
+            new SignalReader(null, quotas, rests, departures, null, log),
+            rests,
+            new TargetClient(TargetClientLimits.DEFAULT, address -> 1),
+            null,
+            quarantine,
+            witness,
+            keyWork,
+            timers,
+            clock,
+            new RequestHeaders("attempt", "deadline", "target", "key"),
+            log,
+            null,
+            () -> false);
+    this.reports =
+        new TrafficReports(keyWork, dispatcher, quotas, rests, departures, quarantine, witness);
+  }
+
+  public TrafficReports reports() {
+    return reports;
+  }
+
+  /** Another target was found at the address of this one. */
+  public void onReplaced(TargetId target) {
+    dispatcher.onReplaced(target);
+  }
+
+  /** An answer of a target says that it leaves; on a thread of the traffic. */
+  public void hearLeaving(TargetId target) {
+    TargetSignals signals =
+        new TargetSignals(
+            Optional.empty(),
+            false,
+            Optional.empty(),
+            OptionalDouble.empty(),
+            true,
+            OptionalLong.empty(),
+            Set.of(),
+            List.of());
+    if (signals.leaving()) {
+      reports.departures().onLeaving(target);
+    }
+  }
+
+  /** Places a request without a key now; empty if nothing takes it. */
+  public Optional<Placed> place() {
+    Placed placed = new Placed();
+    dispatcher.submit(placed.wish);
+    dispatcher.withdraw(placed.wish);
+    return Optional.ofNullable(placed.slot).map(slot -> placed);
+  }
+
+  /** Tells whether a request that comes now begins at a target, on a connection that is there. */
+  public boolean sendsTo(TargetId target) {
+    Optional<Placed> placed = place();
+    boolean sent =
+        placed.filter(p -> p.target().id().equals(target)).filter(Placed::begins).isPresent();
+    placed.ifPresent(Placed::giveBack);
+    return sent;
+  }
+
+  /** A request that has a slot at a target and waits for its connection. */
+  public final class Placed implements PlacementWish.Listener {
+
+    private final PlacementWish wish;
+    private Slot slot;
+
+    Placed() {
+      Route route =
+          new Route(
+              "r",
+              "h.example",
+              "/a/",
+              true,
+              1_000,
+              400,
+              1,
+              List.of(new WeightedService(SERVICE, 1)),
+              2);
+      wish = new PlacementWish(route, SERVICE, OptionalInt.empty(), 0, this);
+    }
+
+    @Override
+    public void onPlaced(Slot given) {
+      slot = given;
+    }
+
+    @Override
+    public void onRefused(TargetRefusal refusal) {}
+
+    public FleetTarget target() {
+      return slot.target();
+    }
+
+    public void giveBack() {
+      dispatcher.giveBack(slot, wish, AttemptEnd.GIVEN_UP, 0);
+    }
+
+    /** Its connection is there: tells whether its first byte goes out. */
+    public boolean begins() {
+      CallerRequest call =
+          new CallerRequest(
+              request(),
+              null,
+              null,
+              "one",
+              wish.route(),
+              SERVICE,
+              OptionalInt.empty(),
+              null,
+              HttpFields.EMPTY,
+              new byte[0],
+              clock.nowMs(),
+              DEADLINE_MS);
+      return new TargetAttempt(services, call, wish, slot, null).onConnection(HttpFields.build());
+    }
+  }
+
+  private static Request request() {
+    return (Request)
+        Proxy.newProxyInstance(
+            SendingGateway.class.getClassLoader(),
+            new Class<?>[] {Request.class},
+            (proxy, method, arguments) ->
+                switch (method.getName()) {
+                  case "getMethod" -> "GET";
+                  case "getHttpURI" -> HttpURI.from("http://h.example/a/");
+                  case "getHeaders" -> HttpFields.EMPTY;
+                  default -> null;
+                });
+  }
+}
