--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -215,6 +215,18 @@
     assertNothingIsSentLate("the holder ended and the next one's first listing is silent");
   }
 
+  /** The registry answers nobody: no departure is taken then, and what is known goes on serving. */
+  @Test
+  void requestsGoOnWhileTheRegistryAnswersNobody() {
+    startHolder();
+    holdersWay.setRefused(true);
+    ownWay.setRefused(true);
+    for (int ms = 0; ms < WATCHED_MS; ms++) {
+      clock.advance(1);
+      assertThat(gateway.traffic.sendsTo(A)).isTrue();
+    }
+  }
+
   /** Guards against whatever is slow, silent or lost at random, and sums of it. */
   @Test
   void departuresAreHeardInTimeWhateverIsSlowBeforeThisGateway() {
--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/HolderDutiesTest.java
@@ -0,0 +1,116 @@
+package io.cuminvalve.gateway.control;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static io.cuminvalve.gateway.control.FollowingGateway.A;
+import static io.cuminvalve.gateway.control.FollowingGateway.B;
+import static io.cuminvalve.gateway.control.FollowingGateway.target;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.lease.LeaseTimings;
+import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.gateway.GatewayPorts;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.kernel.ControlThread;
+import io.cuminvalve.kernel.FailureHandler;
+import io.cuminvalve.testkit.time.VirtualClock;
+import io.cuminvalve.testkit.time.VirtualExecutor;
+import io.cuminvalve.wire.RecordCodec;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What a gateway tells the others once it holds the term. */
+class HolderDutiesTest {
+
+  private static final LeaseTimings TIMINGS =
+      new LeaseTimings(4_000, 10_000, 1_000, 2_000, 700, 100, 0.02, 100, 9_500);
+  private static final FleetTarget READY = target(A, TargetPhase.READY);
+
+  private final VirtualClock clock = new VirtualClock(10_000);
+  private final VirtualRegistry registry = new VirtualRegistry(clock);
+  private final VirtualRegistry.Reader way = registry.new Reader();
+  private final ControlThread control =
+      new ControlThread("test", FailureHandler.logging(), new VirtualExecutor(clock));
+  private final RoutingState state = new RoutingState(2);
+  private final List<List<FleetTarget>> told = new ArrayList<>();
+
+  private HolderDuties duties() {
+    DecisionLog log = new DecisionLog(clock, 1, line -> {});
+    CursorStore store = new CursorStore(clock);
+    TermLease lease =
+        new TermLease(
+            store,
+            control,
+            clock,
+            new SplittableRandom(1),
+            log,
+            new RecordCodec(),
+            new TermNote("one", 1, "127.0.0.1:1"),
+            true,
+            1,
+            9_500,
+            Reliance.partial(() -> 1_460),
+            null);
+    HolderDuties.Audience audience =
+        new HolderDuties.Audience() {
+          @Override
+          public void onTargets(long term, long version, List<FleetTarget> targets) {
+            told.add(targets);
+          }
+
+          @Override
+          public void onRoutes(
+              long term, long version, List<ServiceRanges> services) {}
+        };
+    return new HolderDuties(
+        new GatewayPorts(store, "configuration", bytes -> null, way, null, null),
+        state,
+        control,
+        clock,
+        log,
+        new RecordCodec(),
+        TIMINGS,
+        2,
+        lease,
+        audience,
+        false,
+        target -> OptionalDouble.empty(),
+        target -> {});
+  }
+
+  /**
+   * Guards against a holder that tells as the newest targets those that it knew before its term:
+   * another target's departure comes before the registry has answered it.
+   */
+  @Test
+  void targetsAreToldOnlyOnceTheRegistryHasAnswered() {
+    state.update(s -> s.withTargets(List.of(READY, target(B, TargetPhase.READY))));
+    registry.put(target(A, TargetPhase.DRAINING));
+    way.silenceNextListings(1);
+    HolderDuties duties = duties();
+    control.execute(duties::start);
+    clock.advance(100);
+    state.update(s -> s.withLeaving(Set.of(B)));
+    duties.onDepartures();
+    boolean toldOld = told.stream().anyMatch(targets -> targets.contains(READY));
+    assertWithMessage("tells that the target is ready, before it has read anything")
+        .that(toldOld)
+        .isFalse();
+  }
+
+  /** Guards against a holder that passes for one that knows, before the registry has answered. */
+  @Test
+  void theAgeOfTheRegistryBeginsWithItsFirstAnswer() {
+    way.silenceNextListings(1);
+    HolderDuties duties = duties();
+    control.execute(duties::start);
+    clock.advance(1_000);
+    assertThat(duties.registryAgeMs()).isGreaterThan(FleetLink.STALE_REGISTRY_MS);
+  }
+}
