--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -11,10 +11,10 @@
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetNews;
+import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
 import io.cuminvalve.testkit.time.VirtualClock;
-import io.cuminvalve.core.protocol.PeerMessage;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -160,7 +160,8 @@
     hearTargets(new TargetsPush(1, 1, List.of(READY)));
     final long toldMs = clock.nowMs();
     clock.advance(200);
-    TargetsChange third = new TargetsChange(1, 2, 3, List.of(target(B, TargetPhase.READY)), List.of());
+    TargetsChange third =
+        new TargetsChange(1, 2, 3, List.of(target(B, TargetPhase.READY)), List.of());
     gateway.hear(HOLDER, third);
     gateway.hear(HOLDER, gateway.beat(1, 10));
     long ageMs = clock.upper().sinceMs(gateway.state.targetsConfirmed());
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
@@ -7,6 +7,7 @@
 import io.cuminvalve.core.protocol.FleetBeat;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.quarantine.CrashLedger;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
@@ -21,7 +22,6 @@
 import io.cuminvalve.testkit.time.VirtualClock;
 import io.cuminvalve.testkit.time.VirtualExecutor;
 import io.cuminvalve.wire.PeerChannel;
-import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.wire.PeerNetwork;
 import io.cuminvalve.wire.PeerNetworkCounters;
 import io.cuminvalve.wire.Reachability;
@@ -76,7 +76,8 @@
     this.traffic = new SendingGateway(state, clock);
     DecisionLog log = new DecisionLog(clock, 100, line -> lines.add(clock.nowMs() + " " + line));
     GatewayPorts ports =
-        new GatewayPorts(new CursorStore(clock), "configuration", bytes -> null, registry, null, null);
+        new GatewayPorts(
+            new CursorStore(clock), "configuration", bytes -> null, registry, null, null);
     FleetPace pace = new FleetPace(state);
     Network network = new Network();
     this.link =
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/HolderDutiesTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/HolderDutiesTest.java
@@ -65,8 +65,7 @@
           }
 
           @Override
-          public void onRoutes(
-              long term, long version, List<ServiceRanges> services) {}
+          public void onRoutes(long term, long version, List<ServiceRanges> services) {}
         };
     return new HolderDuties(
         new GatewayPorts(store, "configuration", bytes -> null, way, null, null),
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
@@ -58,9 +58,7 @@
     clock.advance(3_000);
     reader.setAnswerMs(2_600);
     clock.advance(10_000);
-    assertWithMessage("the age is too low by, ms")
-        .that(worstErrorMs(follower, clock))
-        .isAtMost(0);
+    assertWithMessage("the age is too low by, ms").that(worstErrorMs(follower, clock)).isAtMost(0);
   }
 
   /** Guards against one that has heard nothing yet and passes for one that knows. */
