--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -40,7 +40,7 @@
 
   private FollowingGateway.Holder startHolder() {
     registry.put(READY);
-    FollowingGateway.Holder holder =
+    final FollowingGateway.Holder holder =
         new FollowingGateway.Holder(clock, gateway, holdersWay, HOLDER, 1);
     startGateway();
     gateway.hear(HOLDER, gateway.beat(1, 0));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
@@ -54,7 +54,7 @@
   /** Guards against an answer that was made long ago and counts as new. */
   @Test
   void answersThatWereHeldUpAreOld() {
-    RegistryFollower follower = follower(clock);
+    final RegistryFollower follower = follower(clock);
     clock.advance(3_000);
     reader.setAnswerMs(2_600);
     clock.advance(10_000);
@@ -65,7 +65,7 @@
   @Test
   void whoHasHeardNothingIsNotFresh() {
     reader.setRefused(true);
-    RegistryFollower follower = follower(clock);
+    final RegistryFollower follower = follower(clock);
     clock.advance(1_000);
     assertWithMessage("age given by one that never had an answer")
         .that(follower.ageMs())
@@ -75,7 +75,7 @@
   /** Guards against an answer that waited for a control thread that was busy. */
   @Test
   void answersThatWaitedForTheControlThreadAreOld() {
-    RegistryFollower follower = follower(controlClock);
+    final RegistryFollower follower = follower(controlClock);
     for (int ms = 0; ms < 5_000; ms++) {
       clock.advance(1);
       controlClock.advance(1);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
@@ -71,6 +71,7 @@
         new TrafficReports(keyWork, dispatcher, quotas, rests, departures, quarantine, witness);
   }
 
+  /** Returns what the link to the fleet needs. */
   public TrafficReports reports() {
     return reports;
   }
@@ -143,10 +144,12 @@
     @Override
     public void onRefused(TargetRefusal refusal) {}
 
+    /** Returns where it has its slot. */
     public FleetTarget target() {
       return slot.target();
     }
 
+    /** Gives its slot back. */
     public void giveBack() {
       dispatcher.giveBack(slot, wish, AttemptEnd.GIVEN_UP, 0);
     }
