--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -479,7 +479,7 @@
             known.revision(),
             known.value(),
             duties.isPresent() ? network.localAddress() : holderAddress.orElse(""),
-            view.targets(),
+            new TargetsPush(0, 0, List.copyOf(state.current().targets())),
             view.routes()));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -115,7 +115,8 @@
 
   /** Takes all targets. Tells whether they are news: those of an earlier term are not. */
   boolean take(TargetsPush push) {
-    boolean news = push.term() >= routes.term();
+    boolean later = push.term() != targets.term() || push.version() >= targets.version();
+    boolean news = push.term() >= routes.term() && later;
     if (news) {
       targets = push;
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -41,6 +41,9 @@
    */
   private static final long ANSWER_MS = 400;
 
+  /** Each overdue listing doubles that, up to this: a store that is away is asked less often. */
+  private static final long LONGEST_LISTING_ANSWER_MS = 1_600;
+
   /** A store that answers slowly takes less. */
   static final long SILENT_AFTER_MS = 300;
 
@@ -70,6 +73,7 @@
   private long dueMs;
   private long keepUntilMs;
   private boolean outageSeen;
+  private long listingAnswerMs = ANSWER_MS;
   private long callNumber;
   private long answeredNumber;
 
@@ -91,9 +95,20 @@
   }
 
   void start() {
-    if (!closed) {
-      UpperTime sent = noteCall(0);
-      registry.list().thenAcceptAsync(listing -> onListed(listing, sent), control);
+    if (closed) {
+      return;
+    }
+    long number = ++callNumber;
+    UpperTime sent = noteCall(0);
+    registry.list().thenAcceptAsync(listing -> onListed(number, listing, sent), control);
+    control.schedule(() -> onListingOverdue(number), listingAnswerMs);
+  }
+
+  private void onListingOverdue(long number) {
+    if (!closed && number == callNumber && number > answeredNumber) {
+      log.write("registry_call_renewed", "revision={} age_ms={}", revision, ageMs());
+      listingAnswerMs = Math.min(LONGEST_LISTING_ANSWER_MS, 2 * listingAnswerMs);
+      start();
     }
   }
 
@@ -140,15 +155,21 @@
     return outageSeen || (answerDue && clock.nowMs() > dueMs);
   }
 
-  private void onListed(RegistryListing listing, UpperTime sent) {
-    if (closed) {
+  private void onListed(long number, RegistryListing listing, UpperTime sent) {
+    if (closed || number <= answeredNumber) {
       return;
     }
+    boolean isNewest = number == callNumber;
     if (!listing.available()) {
-      outageSeen = true;
-      control.schedule(this::start, RETRY_MS);
+      if (isNewest) {
+        answeredNumber = number;
+        outageSeen = true;
+        control.schedule(this::start, RETRY_MS);
+      }
       return;
     }
+    answeredNumber = callNumber;
+    listingAnswerMs = ANSWER_MS;
     onAnswer(sent);
     logUnreadable(listing.unreadable());
     revision = listing.revision();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetAttemptTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetAttemptTest.java
@@ -22,6 +22,7 @@
 
   private SendingGateway.Placed placed() {
     state.update(snapshot -> snapshot.withTargets(List.of(target(TargetPhase.READY))));
+    state.confirmTargets(clock.upper());
     return gateway.place().orElseThrow();
   }
 
