--- /dev/null
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
@@ -0,0 +1,329 @@
+package io.cuminvalve.gateway.traffic;
+
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
+import io.cuminvalve.core.fleet.TargetSignals;
+import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.route.CallerBounds;
+import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.route.ServiceProfile;
+import io.cuminvalve.core.route.WeightedService;
+import io.cuminvalve.gateway.GatewaySettings;
+import io.cuminvalve.gateway.RequestHeaders;
+import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.observe.MetricsPage;
+import io.cuminvalve.gateway.observe.RequestMetrics;
+import io.cuminvalve.gateway.observe.StoreCallMetrics;
+import io.cuminvalve.gateway.observe.UnknownFields;
+import io.cuminvalve.testkit.time.VirtualClock;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * A gateway's server whose threads a test can hold up, as a slow start does, on a virtual clock.
+ *
+ * <p>What waits meanwhile is where it really waits: in sockets and queues.
+ */
+final class LateGateway implements AutoCloseable {
+
+  /** The longest that a caller is kept waiting; virtual time. */
+  static final long ROUTE_TIMEOUT_MS = 120_000;
+
+  private static final ServiceId SERVICE = new ServiceId("files");
+  private static final DataCentreId HERE = new DataCentreId("here");
+  private static final int TARGET_THREADS = 8;
+  private static final String BLOCKER = "blocker-";
+
+  private static final String CALLER_THREAD = "caller-";
+
+  /** How a thread waits for work. */
+  private static final Set<String> IDLE_METHODS = Set.of("idleJobPoll", "reservedWait");
+
+  private final VirtualClock clock = new VirtualClock(1_000_000);
+  private final RoutingState state = new RoutingState(1);
+  private final RawTarget target;
+  private final GatewayServer server;
+  private final List<Socket> sockets = new ArrayList<>();
+  private final AtomicInteger ids = new AtomicInteger();
+  private final AtomicInteger readings = new AtomicInteger();
+  private final CountDownLatch callersHeld = new CountDownLatch(1);
+  private final CountDownLatch callersFreed = new CountDownLatch(1);
+  private final CountDownLatch targetsFreed = new CountDownLatch(1);
+
+  LateGateway(RawTarget target) {
+    this.target = target;
+    DecisionLog log = new DecisionLog(clock, Integer.MAX_VALUE, this::onLine);
+    RequestMetrics metrics = new RequestMetrics();
+    UnknownFields unknown = new UnknownFields(log);
+    this.server =
+        new GatewayServer(
+            settings(),
+            state,
+            this::readClock,
+            log,
+            metrics,
+            this::decode,
+            unknown,
+            new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
+            () -> true,
+            () -> false);
+    server.start();
+  }
+
+  private static GatewaySettings settings() {
+    InetSocketAddress anyPort = new InetSocketAddress("127.0.0.1", 0);
+    return new GatewaySettings(
+        "one",
+        HERE.value(),
+        anyPort,
+        anyPort,
+        Optional.empty(),
+        "/v1/readyz",
+        "127.0.0.1",
+        0,
+        new RequestHeaders("X-Attempt-Id", "X-Deadline-Ms", "X-Target-Instance", "X-Shard-Key"),
+        true,
+        1,
+        true,
+        null,
+        0.1,
+        100,
+        5_000,
+        1_000,
+        10_000,
+        List.of());
+  }
+
+  /** Makes the target and the route known. */
+  LateGateway configure() {
+    Route route =
+        new Route(
+            "files",
+            "files",
+            "/files/",
+            true,
+            ROUTE_TIMEOUT_MS,
+            ROUTE_TIMEOUT_MS,
+            0,
+            List.of(new WeightedService(SERVICE, 1)),
+            3);
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(
+            1,
+            List.of(route),
+            List.of(new ServiceProfile(SERVICE, false, 1_000)),
+            new CallerBounds(8_192, 1L << 20, 10_000, 60_000));
+    FleetTarget registered =
+        new FleetTarget(
+            new TargetId("files-1"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
+    state.update(
+        snapshot -> snapshot.withTargets(List.of(registered)).withConfiguration(configuration));
+    return this;
+  }
+
+  private long readClock() {
+    if (Thread.currentThread().getName().startsWith(CALLER_THREAD)) {
+      readings.incrementAndGet();
+    }
+    return clock.nowMs();
+  }
+
+  /** Returns how often threads that read callers have asked for the time. */
+  int readings() {
+    return readings.get();
+  }
+
+  /** The first line about a blocker is written by the thread that has read its request. */
+  private void onLine(String line) {
+    if (line.contains("id=" + BLOCKER)) {
+      callersHeld.countDown();
+      awaitQuietly(callersFreed);
+    }
+  }
+
+  private TargetSignals decode(int status, HttpFields headers) {
+    if (headers.contains(RawTarget.HOLD)) {
+      awaitQuietly(targetsFreed);
+    }
+    return new TargetSignals(
+        Optional.ofNullable(headers.get("X-Attempt-Id")),
+        headers.contains("X-Not-Executed"),
+        Optional.empty(),
+        OptionalDouble.empty(),
+        false,
+        OptionalLong.empty(),
+        Set.of(),
+        List.of());
+  }
+
+  private static void awaitQuietly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Keeps the thread busy that reads callers: what comes from now on is not read. There is one such
+   * thread, and it handles what it reads itself, since the handlers do not block.
+   */
+  void holdCallerThreads() throws IOException {
+    connect().send(BLOCKER, "/unknown/", 1);
+    awaitQuietly(callersHeld);
+  }
+
+  void freeCallerThreads() {
+    callersFreed.countDown();
+  }
+
+  /** Keeps every thread that talks to targets busy: connections are not established. */
+  void holdTargetThreads() throws IOException {
+    for (int i = 0; i < TARGET_THREADS; i++) {
+      connect().send(RawTarget.HELD + i, "/files/", ROUTE_TIMEOUT_MS);
+    }
+    await(() -> isBusy("target-", TARGET_THREADS));
+  }
+
+  void freeTargetThreads() {
+    targetsFreed.countDown();
+  }
+
+  private static boolean isBusy(String prefix, int threads) {
+    int busy = 0;
+    for (Map.Entry<Thread, StackTraceElement[]> each : Thread.getAllStackTraces().entrySet()) {
+      boolean idle =
+          Arrays.stream(each.getValue())
+              .anyMatch(frame -> IDLE_METHODS.contains(frame.getMethodName()));
+      if (each.getKey().getName().startsWith(prefix) && !idle) {
+        busy++;
+      }
+    }
+    return busy == threads;
+  }
+
+  /** Lets time pass: nothing else moves the clock. */
+  void pass(long durationMs) {
+    clock.advance(durationMs);
+  }
+
+  int inFlight() {
+    return server.inFlight();
+  }
+
+  /** Opens connections to the target, so that a request need not wait for one. */
+  void warm(int connections) throws IOException, InterruptedException {
+    List<Call> calls = new ArrayList<>();
+    for (int i = 0; i < connections; i++) {
+      calls.add(connect().send("warm-" + i, "/files/", ROUTE_TIMEOUT_MS));
+    }
+    for (Call call : calls) {
+      call.status();
+      call.close();
+    }
+    await(() -> inFlight() == 0);
+  }
+
+  /** Returns once everything that was sent before has been decided. */
+  void settle() throws IOException {
+    String marker = "marker-" + ids.incrementAndGet();
+    try (Call last = connect().send(marker, "/files/", ROUTE_TIMEOUT_MS)) {
+      last.status();
+    }
+    await(() -> inFlight() == 0);
+  }
+
+  Call connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", server.callerPort());
+    sockets.add(socket);
+    return new Call(socket);
+  }
+
+  /** Waits for as long as the time limit of the test allows; only the condition decides. */
+  static void await(BooleanSupplier condition) {
+    while (!condition.getAsBoolean()) {
+      Thread.onSpinWait();
+      Thread.yield();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    freeCallerThreads();
+    freeTargetThreads();
+    server.stop();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+  }
+
+  /** A caller's connection. */
+  static final class Call implements AutoCloseable {
+
+    private final Socket socket;
+
+    Call(Socket socket) {
+      this.socket = socket;
+    }
+
+    /** Sends a request without a body. */
+    Call send(String id, String path, long deadlineMs) throws IOException {
+      return write(head(id, "GET " + path, deadlineMs, ""));
+    }
+
+    /** Sends the head of a request and what is given of its body. */
+    Call sendPart(String id, long deadlineMs, int length, String part) throws IOException {
+      return write(
+          head(id, "POST /files/", deadlineMs, "Content-Length: " + length + "\r\n") + part);
+    }
+
+    Call write(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      return this;
+    }
+
+    private static String head(String id, String start, long deadlineMs, String more) {
+      return start
+          + " HTTP/1.1\r\nHost: files\r\nX-Attempt-Id: "
+          + id
+          + "\r\nX-Deadline-Ms: "
+          + deadlineMs
+          + "\r\n"
+          + more
+          + "\r\n";
+    }
+
+    /** Reads an answer whole; returns 0 if the connection ends without one. */
+    int status() throws IOException {
+      String head = RawTarget.readHead(socket.getInputStream());
+      if (head == null) {
+        return 0;
+      }
+      int length = RawTarget.header(head, "Content-Length").map(Integer::parseInt).orElse(0);
+      socket.getInputStream().readNBytes(length);
+      return Integer.parseInt(head.split(" ")[1]);
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+}
