--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CallerThatLeftTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CallerThatLeftTest.java
@@ -125,11 +125,14 @@
     gateway.configure().holdTargetThreads();
     int before = gateway.inFlight();
     Call call = gateway.connect().send("gone-0", "/files/", DEADLINE_MS);
-    LateGateway.await(() -> gateway.inFlight() == before + 1);
+    Call next = gateway.connect().send("stays", "/files/", DEADLINE_MS);
+    LateGateway.await(() -> gateway.inFlight() == before + 2);
     gateway.holdCallerThreads();
     call.close();
     gateway.pass(LONG_GONE_MS);
+    assertThat(target.arrivalsOf("gone-0")).isEqualTo(0);
     gateway.freeTargetThreads();
+    assertThat(next.status()).isEqualTo(200);
     gateway.freeCallerThreads();
     gateway.settle();
     assertThat(arrivalsOfGone()).isEmpty();
@@ -152,7 +155,7 @@
   /** Guards against: the target refuses, and the request is repeated though the close is unread. */
   @Test
   void requestsOfCallersThatLeftAreNotRepeatedIfTheCloseIsUnread() throws Exception {
-    gateway.configure().warm(1);
+    gateway.configure().warm(2);
     String id = RawTarget.REFUSED_LATE + 0;
     Call call = gateway.connect().send(id, "/files/", DEADLINE_MS);
     LateGateway.await(() -> target.arrivalsOf(id) == 1);
@@ -160,6 +163,7 @@
     call.close();
     gateway.pass(LONG_GONE_MS);
     target.answerWaiting();
+    LateGateway.await(() -> gateway.hasLogged("event=request_refused_by_target id=" + id));
     gateway.freeCallerThreads();
     gateway.settle();
     assertThat(target.arrivalsOf(id)).isEqualTo(1);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
@@ -30,7 +30,9 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.Queue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -61,6 +63,7 @@
   private final RawTarget target;
   private final GatewayServer server;
   private final List<Socket> sockets = new ArrayList<>();
+  private final Queue<String> lines = new ConcurrentLinkedQueue<>();
   private final AtomicInteger ids = new AtomicInteger();
   private final AtomicInteger readings = new AtomicInteger();
   private final CountDownLatch callersHeld = new CountDownLatch(1);
@@ -111,7 +114,7 @@
         List.of());
   }
 
-  /** Makes the target and the route known. */
+  /** Makes the route known, and the target under two names, so that requests can be repeated. */
   LateGateway configure() {
     Route route =
         new Route(
@@ -133,8 +136,12 @@
     FleetTarget registered =
         new FleetTarget(
             new TargetId("files-1"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
+    FleetTarget other =
+        new FleetTarget(
+            new TargetId("files-2"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
     state.update(
-        snapshot -> snapshot.withTargets(List.of(registered)).withConfiguration(configuration));
+        snapshot ->
+            snapshot.withTargets(List.of(registered, other)).withConfiguration(configuration));
     return this;
   }
 
@@ -152,6 +159,7 @@
 
   /** The first line about a blocker is written by the thread that has read its request. */
   private void onLine(String line) {
+    lines.add(line);
     if (line.contains("id=" + BLOCKER)) {
       callersHeld.countDown();
       awaitQuietly(callersFreed);
@@ -194,6 +202,11 @@
     callersFreed.countDown();
   }
 
+  /** Tells whether the gateway has written a line that begins like this. */
+  boolean hasLogged(String start) {
+    return lines.stream().anyMatch(line -> line.startsWith(start));
+  }
+
   /** Keeps every thread that talks to targets busy: connections are not established. */
   void holdTargetThreads() throws IOException {
     for (int i = 0; i < TARGET_THREADS; i++) {
@@ -241,13 +254,15 @@
     await(() -> inFlight() == 0);
   }
 
-  /** Returns once everything that was sent before has been decided. */
+  /** Returns once all that was sent before has been decided, and read by the target; stops. */
   void settle() throws IOException {
     String marker = "marker-" + ids.incrementAndGet();
     try (Call last = connect().send(marker, "/files/", ROUTE_TIMEOUT_MS)) {
       last.status();
     }
     await(() -> inFlight() == 0);
+    server.stop();
+    await(() -> target.serving() == 0);
   }
 
   Call connect() throws IOException {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A target on raw sockets that notes each request as soon as its head has been read.
@@ -34,6 +35,7 @@
   private final ServerSocket listener;
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private final List<Arrival> arrivals = new ArrayList<>();
+  private final AtomicInteger serving = new AtomicInteger();
   private final CountDownLatch answersWaiting = new CountDownLatch(1);
 
   RawTarget() throws IOException {
@@ -73,6 +75,7 @@
       while (true) {
         Socket socket = listener.accept();
         accepted.add(socket);
+        serving.incrementAndGet();
         thread(() -> serve(socket));
       }
     } catch (IOException closed) {
@@ -96,9 +99,16 @@
       // The gateway closed the connection, as several tests want it to.
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } finally {
+      serving.decrementAndGet();
     }
   }
 
+  /** Returns how many connections have not been read to their end. */
+  int serving() {
+    return serving.get();
+  }
+
   private String answer(String id) throws InterruptedException {
     if (id.startsWith(REFUSED_LATE)) {
       answersWaiting.await();
