--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
@@ -73,6 +73,7 @@
     MetricSnapshots.Builder all = MetricSnapshots.builder();
     all.metricSnapshot(requestCounter());
     all.metricSnapshot(requestSeconds());
+    all.metricSnapshot(sendSeconds());
     all.metricSnapshot(storeCallCounter());
     all.metricSnapshot(
         counter(
@@ -152,6 +153,20 @@
     return histogram.build();
   }
 
+  private HistogramSnapshot sendSeconds() {
+    RequestMetrics.RouteCounts sent = requests.sent();
+    return HistogramSnapshot.builder()
+        .name("cuminvalve_request_send_seconds")
+        .help("From the reading of a request's head to its first byte at a target.")
+        .dataPoint(
+            HistogramSnapshot.HistogramDataPointSnapshot.builder()
+                .classicHistogramBuckets(
+                    ClassicHistogramBuckets.of(boundsSeconds(), sent.bucketCounts()))
+                .sum(sent.sumMs() / MS_PER_SECOND)
+                .build())
+        .build();
+  }
+
   private static double[] boundsSeconds() {
     long[] boundsMs = RequestMetrics.RouteCounts.boundsMs();
     double[] bounds = new double[boundsMs.length + 1];
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
@@ -28,6 +28,7 @@
   };
 
   private final Map<String, RouteCounts> byRoute = new ConcurrentHashMap<>();
+  private final RouteCounts sent = new RouteCounts();
   private final Map<String, LongAdder> refusals = new ConcurrentHashMap<>();
 
   /**
@@ -41,6 +42,24 @@
     countsOf(route).add(outcome, tookMs);
   }
 
+  /**
+   * Counts a request that is about to be sent to a target.
+   *
+   * @param sinceReadMs from the reading of its head to its first byte; milliseconds
+   */
+  public void onSent(long sinceReadMs) {
+    sent.add(RequestOutcome.ANSWERED, sinceReadMs);
+  }
+
+  /**
+   * Returns how long requests were held between the reading of their head and their first byte.
+   *
+   * @return never null
+   */
+  RouteCounts sent() {
+    return sent;
+  }
+
   /**
    * Counts why a request was given up.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -129,7 +129,11 @@
       return false;
     }
     headers.put(services.headers().deadlineMs(), remainingMs);
-    return handover.begin();
+    boolean begins = handover.begin();
+    if (begins) {
+      services.metrics().onSent(sentMs - call.arrivedMs());
+    }
+    return begins;
   }
 
   @Override
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/observe/MetricsPageTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/observe/MetricsPageTest.java
@@ -30,6 +30,17 @@
     assertThat(text).contains("cuminvalve_request_seconds_sum{route=\"claims\"} 20.12");
   }
 
+  /** Tells requests that waited here from those that waited unread. */
+  @Test
+  void theTimeFromTheHeadToTheFirstByteIsCounted() {
+    requests.onSent(120);
+    requests.onSent(700);
+    String text = text();
+    assertThat(text).contains("cuminvalve_request_send_seconds_bucket{le=\"0.1\"} 0");
+    assertThat(text).contains("cuminvalve_request_send_seconds_bucket{le=\"0.15\"} 1");
+    assertThat(text).contains("cuminvalve_request_send_seconds_sum 0.82");
+  }
+
   @Test
   void furtherRoutesCountTogether() {
     for (int i = 0; i < RequestMetrics.MOST_ROUTES + 10; i++) {
