--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -70,6 +70,9 @@
    */
   private static final long OUTDATED_TARGETS_MS = 1_500;
 
+  /** A holder that knows nothing newer is not followed again. */
+  private static final long FRESH_TARGETS_MS = 1_100;
+
   /** Pause between two looks at the age of what is known. */
   private static final long CHECK_MS = 100;
 
@@ -412,20 +415,29 @@
     }
   }
 
-  /** The holder's word confirms only the targets that it has told. */
+  /**
+   * The holder's word confirms only the targets that it has told. A gateway that looks itself
+   * follows the holder again once that knows nearly as much.
+   */
   private void confirmTargets(FleetBeat beat, UpperTime asked) {
     TargetsPush told = view.targets();
     boolean current = told.term() == beat.term() && told.version() >= beat.targetsVersion();
-    if (current && !followsHolder) {
+    if (!current) {
+      return;
+    }
+    UpperTime confirmed = asked.minusMs(beat.registryAgeMs());
+    if (!followsHolder && clock.upper().sinceMs(confirmed) <= FRESH_TARGETS_MS) {
+      followsHolder = true;
+      ownLook.close();
       installTargets();
     }
-    if (current && followsHolder) {
-      state.confirmTargets(asked.minusMs(beat.registryAgeMs()));
+    if (followsHolder) {
+      state.confirmTargets(confirmed);
     }
   }
 
   private void onTargetsPush(TargetsPush push) {
-    if (duties.isEmpty() && view.take(push)) {
+    if (duties.isEmpty() && view.take(push) && followsHolder) {
       installTargets();
     }
   }
@@ -435,19 +447,17 @@
       return;
     }
     if (view.take(change)) {
-      installTargets();
+      if (followsHolder) {
+        installTargets();
+      }
     } else if (change.version() > view.targets().version()) {
       view.distrustTargets();
     }
   }
 
   private void installTargets() {
-    if (clock.upper().sinceMs(heard) <= pace.silentMs()) {
-      ownLook.close();
-      followsHolder = true;
-      List<FleetTarget> targets = view.targets().targets();
-      state.update(snapshot -> snapshot.withTargets(targets));
-    }
+    List<FleetTarget> targets = view.targets().targets();
+    state.update(snapshot -> snapshot.withTargets(targets));
   }
 
   private void onRoutesPush(RoutesPush push) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -52,8 +53,8 @@
   /** Entries that lapsed in an outage are back within 2 s of its end; a little more for pace. */
   private static final long COMEBACK_MS = 2_200;
 
-  /** A single failed call is no outage in which entries lapse: they live for three beats. */
-  private static final long OUTAGE_MS = 700;
+  /** In a shorter outage no entry lapses: they live for three beats, and two are left of them. */
+  private static final long OUTAGE_MS = 1_750;
 
   private final TargetRegistry registry;
   private final ControlThread control;
@@ -72,7 +73,7 @@
   private boolean answerDue;
   private long dueMs;
   private long keepUntilMs;
-  private boolean outageSeen;
+  private Optional<Long> outageSince = Optional.empty();
   private long listingAnswerMs = ANSWER_MS;
   private long callNumber;
   private long answeredNumber;
@@ -152,7 +153,7 @@
 
   /** Tells whether the registry has refused the last call, or left it without an answer. */
   boolean isSilent() {
-    return outageSeen || (answerDue && clock.nowMs() > dueMs);
+    return outageSince.isPresent() || (answerDue && clock.nowMs() > dueMs);
   }
 
   private void onListed(long number, RegistryListing listing, UpperTime sent) {
@@ -163,7 +164,7 @@
     if (!listing.available()) {
       if (isNewest) {
         answeredNumber = number;
-        outageSeen = true;
+        noteOutage();
         control.schedule(this::start, RETRY_MS);
       }
       return;
@@ -241,7 +242,7 @@
       }
       case HISTORY_LOST -> start();
       default -> {
-        outageSeen = true;
+        noteOutage();
         control.schedule(this::watch, RETRY_MS);
       }
     }
@@ -262,12 +263,18 @@
     return waited ? sent.plusMs(WAIT_MS) : sent;
   }
 
+  private void noteOutage() {
+    if (outageSince.isEmpty()) {
+      outageSince = Optional.of(clock.nowMs());
+    }
+  }
+
   private void onAnswer(UpperTime proved) {
-    if (outageSeen && ageMs() > OUTAGE_MS) {
+    if (outageSince.filter(since -> clock.nowMs() - since > OUTAGE_MS).isPresent()) {
       keepUntilMs = clock.nowMs() + COMEBACK_MS;
       log.write("registry_regained", "after_ms={}", ageMs());
     }
-    outageSeen = false;
+    outageSince = Optional.empty();
     answerDue = proved.compareTo(called) < 0;
     dueMs = clock.nowMs() + WAIT_MS + SILENT_AFTER_MS;
     confirmed = confirmed.latest(proved);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
@@ -28,6 +28,7 @@
   };
 
   private final Map<String, RouteCounts> byRoute = new ConcurrentHashMap<>();
+  private final RouteCounts sent = new RouteCounts();
   private final Map<String, LongAdder> refusals = new ConcurrentHashMap<>();
 
   /**
@@ -41,6 +42,25 @@
     countsOf(route).add(outcome, tookMs);
   }
 
+  /**
+   * Counts a request that is about to be sent to a target.
+   *
+   * @param ageMs from the earliest time at which it may have arrived to its first byte at the
+   *     target; milliseconds
+   */
+  public void onSent(long ageMs) {
+    sent.add(RequestOutcome.ANSWERED, ageMs);
+  }
+
+  /**
+   * Returns how old requests may have been at their first byte.
+   *
+   * @return never null
+   */
+  RouteCounts sent() {
+    return sent;
+  }
+
   /**
    * Counts why a request was given up.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -135,7 +135,11 @@
     }
     UpperTime now = services.clock().upper();
     headers.put(services.headers().deadlineMs(), Math.max(1, call.deadline().sinceMs(now)));
-    return handover.begin();
+    boolean begins = handover.begin();
+    if (begins) {
+      services.metrics().onSent(sentMs - call.arrivedMs());
+    }
+    return begins;
   }
 
   @Override
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -370,6 +370,8 @@
     busy.arrive(HOLDER, new TargetsPush(1, 1, List.of(READY)));
     busy.arrive(HOLDER, busy.beat(1, 0));
     controlClock.advance(0);
+    clock.advance(0);
+    controlClock.advance(0);
     assertThat(busy.traffic.sendsTo(A)).isTrue();
     busy.arrive(HOLDER, new TargetsChange(1, 1, 2, List.of(DRAINING), List.of()));
     clock.advance(DRAIN_MS + 1);
