--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeMachine.java
@@ -74,6 +74,9 @@
    * @return what to do; never null
    */
   public List<ExchangeEffect> onStart(boolean turnedAway, long nowMs) {
+    if (done) {
+      return List.of();
+    }
     return turnedAway ? end("overload_busy") : List.of(seek(nowMs));
   }
 
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendObstacle.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendObstacle.java
@@ -12,9 +12,10 @@
   /**
    * Returns the reason for logs and metrics.
    *
-   * @return the name of the condition, and whether it was only out of date; never null
+   * @return {@code unmet_} or, if it was only out of date, {@code unknown_}, and the name of the
+   *     condition; never null
    */
   public String label() {
-    return outdated ? condition.label() + "_unknown" : condition.label();
+    return (outdated ? "unknown_" : "unmet_") + condition.label();
   }
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeMachineTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeMachineTest.java
@@ -159,6 +159,17 @@
         .inOrder();
   }
 
+  /** The close of a caller may be found while its request is about to begin. */
+  @Test
+  void theCallerThatLeavesBeforeTheBeginningEndsTheRequest() {
+    ExchangeMachine machine = machine(true, true);
+    assertThat(machine.onCallerGone())
+        .containsExactly(new ExchangeEffect.StopSeeking(), new ExchangeEffect.Drop())
+        .inOrder();
+    assertThat(machine.onStart(false, 0)).isEmpty();
+    assertThat(machine.onStart(true, 0)).isEmpty();
+  }
+
   @Test
   void nothingFollowsTheFinalAnswer() {
     ExchangeMachine machine = sent(true, true);
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/send/SendGateTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/send/SendGateTest.java
@@ -88,8 +88,8 @@
   @Test
   void theReasonTellsWhatIsOnlyOutOfDate() {
     assertThat(new SendObstacle(SendCondition.TARGET_SERVES, false).label())
-        .isEqualTo("target_serves");
+        .isEqualTo("unmet_target_serves");
     assertThat(new SendObstacle(SendCondition.TARGET_SERVES, true).label())
-        .isEqualTo("target_serves_unknown");
+        .isEqualTo("unknown_target_serves");
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -49,11 +49,11 @@
 
   /** Calls back once if the caller closes its connection before the answer. */
   void watchCaller(Runnable onGone) {
+    request.addFailureListener(failure -> onGone.run());
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
     if (endPoint instanceof CallerEndPoint watched) {
       watched.watch(onGone);
     }
-    request.addFailureListener(failure -> onGone.run());
   }
 
   /** Looks whether the caller's connection is open, also if nobody has been told of its end yet. */
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/PolledSelector.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/PolledSelector.java
@@ -39,14 +39,19 @@
     last = clock.upper();
     polls++;
     int selected = now ? selector.selectNow() : selector.select(LONGEST_POLL_MS);
-    if (selector.selectedKeys().stream().noneMatch(PolledSelector::accepts)) {
+    if (!isAnyToAccept(selector)) {
       onNothingToAccept.accept(last);
     }
     return selected;
   }
 
-  private static boolean accepts(SelectionKey key) {
-    return key.isValid() && key.isAcceptable();
+  private static boolean isAnyToAccept(Selector selector) {
+    for (SelectionKey key : selector.selectedKeys()) {
+      if (key.isValid() && key.isAcceptable()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns how many looks have begun. */
