--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -74,7 +74,7 @@
   private static final long FRESH_TARGETS_MS = 1_100;
 
   /** Pause between two looks at the age of what is known. */
-  private static final long CHECK_MS = 100;
+  private static final long CHECK_MS = 50;
 
   /** In a wide fleet the registry takes several calls; a holder that is there may be faster. */
   private static final long LIST_AFTER_MS = 60;
@@ -112,13 +112,12 @@
   private final DepartureLink departures;
   private final OwnRegistryLook ownLook;
   private final FleetView view = new FleetView();
-  private Optional<HolderDuties> duties = Optional.empty();
+  private volatile Optional<HolderDuties> duties = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
   private UpperTime heard;
   private UpperTime freshBeat;
   private boolean followsHolder;
-  private Optional<Long> firstListingDueMs = Optional.empty();
-  private volatile boolean storeSilent;
+  private volatile Optional<Long> firstListingDueMs = Optional.empty();
 
   FleetLink(
       PeerNetwork network,
@@ -176,7 +175,7 @@
     crashes.start();
     quotas.start();
     departures.start();
-    state.watch(configuration::confirmed, () -> storeSilent);
+    state.watch(configuration::confirmed, pace::configurationMaxAgeMs, this::isStoreSilent);
     if (!settings.firstStart()) {
       firstLook.readOwners();
       control.schedule(this::listIfUnaware, LIST_AFTER_MS);
@@ -293,19 +292,27 @@
   private void checkAge() {
     if (duties.isPresent()) {
       state.confirmTargets(duties.get().targetsConfirmed());
-      storeSilent = duties.get().isStoreSilent();
       return;
     }
     ownLook.confirmTargets();
     boolean unaware = state.targetsConfirmed().equals(UpperTime.NEVER);
-    boolean firstListingLate = firstListingDueMs.filter(due -> clock.nowMs() >= due).isPresent();
-    storeSilent = ownLook.isSilent() || (unaware && firstListingLate);
     boolean outdated = clock.upper().sinceMs(state.targetsConfirmed()) > OUTDATED_TARGETS_MS;
     if (outdated && !unaware && !ownLook.isOpen()) {
       lookOneself();
     }
   }
 
+  /** Tells whether the store leaves this gateway without an answer. For any thread. */
+  private boolean isStoreSilent() {
+    Optional<HolderDuties> held = duties;
+    if (held.isPresent()) {
+      return held.get().isStoreSilent();
+    }
+    boolean unaware = state.targetsConfirmed().equals(UpperTime.NEVER);
+    return ownLook.isSilent()
+        || (unaware && firstListingDueMs.filter(due -> clock.nowMs() >= due).isPresent());
+  }
+
   /** This host was suspended: the holder and its deputies are asked at once. */
   void onWoken() {
     onPace();
@@ -593,8 +600,8 @@
     @Override
     public void onTargets(List<FleetTarget> targets, UpperTime asOf) {
       if (state.targetsConfirmed().equals(UpperTime.NEVER)) {
-        state.confirmTargets(asOf);
         state.update(snapshot -> snapshot.withTargets(targets));
+        state.confirmTargets(asOf);
       }
     }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetPace.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetPace.java
@@ -29,6 +29,11 @@
   /** The holder's call of the store and its word on the way take no longer. */
   private static final long ANSWER_MS = 150;
 
+  private static final long IN_FORCE_MS = 1_900;
+
+  /** A look at the age, and the answer of the store. */
+  private static final long LOOK_MS = 200;
+
   private final RoutingState state;
 
   FleetPace(RoutingState state) {
@@ -60,4 +65,15 @@
   long confirmedMs() {
     return silentMs() + ANSWER_MS;
   }
+
+  /**
+   * Returns how old the configuration may be before requests are no longer sent by it;
+   * milliseconds.
+   *
+   * <p>It has to be in force within 2 s. In a wide fleet whose holder is gone a gateway learns that
+   * it lacks nothing only later.
+   */
+  long configurationMaxAgeMs() {
+    return Math.max(IN_FORCE_MS, confirmedMs() + KeyFollower.SHORT_WAIT_MS + LOOK_MS);
+  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -30,6 +30,11 @@
   private TargetsPush targets = new TargetsPush(0, 0, List.of());
   private RoutesPush routes = new RoutesPush(0, 0, List.of());
 
+  /** The newest targets that were taken, also if they have to be told again. */
+  private long newestTerm;
+
+  private long newestVersion;
+
   TargetsPush targets() {
     return targets;
   }
@@ -66,6 +71,7 @@
   FleetMessage publishTargets(long term, long version, List<FleetTarget> now) {
     TargetsPush before = targets;
     targets = new TargetsPush(term, version, now);
+    noteNewest();
     if (before.term() != term) {
       return targets;
     }
@@ -115,14 +121,21 @@
 
   /** Takes all targets. Tells whether they are news: those of an earlier term are not. */
   boolean take(TargetsPush push) {
-    boolean later = push.term() != targets.term() || push.version() >= targets.version();
-    boolean news = push.term() >= routes.term() && later;
+    long term = Math.max(routes.term(), newestTerm);
+    boolean later = push.term() > newestTerm || push.version() >= newestVersion;
+    boolean news = push.term() >= term && later;
     if (news) {
       targets = push;
+      noteNewest();
     }
     return news;
   }
 
+  private void noteNewest() {
+    newestTerm = targets.term();
+    newestVersion = targets.version();
+  }
+
   /** Takes all owners. Tells whether they are news. */
   boolean take(RoutesPush push) {
     boolean sameTerm = push.term() == routes.term();
@@ -143,6 +156,7 @@
     change.removed().forEach(patched::remove);
     change.written().forEach(target -> patched.put(target.id(), target));
     targets = new TargetsPush(change.term(), change.version(), List.copyOf(patched.values()));
+    noteNewest();
     return true;
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -194,7 +194,7 @@
     return follower.confirmed();
   }
 
-  /** Tells whether the store leaves the holder without an answer. */
+  /** Tells whether the store leaves the holder without an answer. For any thread. */
   boolean isStoreSilent() {
     return follower.isSilent();
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -240,10 +240,12 @@
       return;
     }
     waiting = false;
+    UpperTime proved = answered ? provedBy(result) : UpperTime.NEVER;
     if (answered) {
       noteAnswer(result);
     }
     listener.accept(result);
+    this.answered = this.answered.latest(proved);
     callAgain(result.event());
   }
 
@@ -261,10 +263,13 @@
   /**
    * Without a change the store looked last when the wait was over, else no earlier than it began.
    */
-  private void noteAnswer(WatchResult result) {
+  private UpperTime provedBy(WatchResult result) {
     boolean waited =
         result.event() == WatchResult.Event.UNCHANGED && clock.nowMs() - sentMs >= waitMs;
-    answered = answered.latest(waited ? sent.plusMs(waitMs) : sent);
+    return waited ? sent.plusMs(waitMs) : sent;
+  }
+
+  private void noteAnswer(WatchResult result) {
     answerMs = Math.max(ANSWER_MS, answerMs / 2);
     if (result.event() != WatchResult.Event.UNCHANGED) {
       absent = result.event() == WatchResult.Event.ABSENT;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OwnRegistryLook.java
@@ -20,7 +20,7 @@
   private final ControlThread control;
   private final MillisClock clock;
   private final DecisionLog log;
-  private Optional<RegistryFollower> follower = Optional.empty();
+  private volatile Optional<RegistryFollower> follower = Optional.empty();
 
   OwnRegistryLook(
       GatewayPorts ports,
@@ -63,7 +63,7 @@
     follower.ifPresent(own -> state.confirmTargets(own.confirmed()));
   }
 
-  /** Tells whether the store leaves this gateway without an answer. */
+  /** Tells whether the store leaves this gateway without an answer. For any thread. */
   boolean isSilent() {
     return follower.filter(RegistryFollower::isSilent).isPresent();
   }
@@ -71,9 +71,9 @@
   private void onTargets() {
     follower.ifPresent(
         own -> {
-          state.confirmTargets(own.confirmed());
           List<FleetTarget> targets = own.register().all();
           state.update(snapshot -> snapshot.withTargets(targets));
+          state.confirmTargets(own.confirmed());
         });
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -70,10 +70,10 @@
   private long epoch;
   private UpperTime confirmed;
   private UpperTime called = UpperTime.NEVER;
-  private boolean answerDue;
-  private long dueMs;
+  private volatile boolean answerDue;
+  private volatile long dueMs;
   private long keepUntilMs;
-  private Optional<Long> outageSince = Optional.empty();
+  private volatile Optional<Long> outageSince = Optional.empty();
   private long listingAnswerMs = ANSWER_MS;
   private long callNumber;
   private long answeredNumber;
@@ -117,8 +117,8 @@
   private UpperTime noteCall(long waitMs) {
     called = clock.upper();
     if (!answerDue) {
-      answerDue = true;
       dueMs = clock.nowMs() + waitMs + SILENT_AFTER_MS;
+      answerDue = true;
     }
     return called;
   }
@@ -151,7 +151,10 @@
     return clock.upper().sinceMs(confirmed);
   }
 
-  /** Tells whether the registry has refused the last call, or left it without an answer. */
+  /**
+   * Tells whether the registry has refused the last call, or left it without an answer. For any
+   * thread.
+   */
   boolean isSilent() {
     return outageSince.isPresent() || (answerDue && clock.nowMs() > dueMs);
   }
@@ -210,7 +213,10 @@
     }
     long number = ++callNumber;
     UpperTime sent = noteCall(WAIT_MS);
-    registry.changes(revision, WAIT_MS).thenAcceptAsync(r -> onChanges(number, r, sent), control);
+    registry
+        .changes(revision, WAIT_MS)
+        .thenApply(changes -> new Answer(changes, provedBy(changes, sent)))
+        .thenAcceptAsync(answer -> onChanges(number, answer), control);
     control.schedule(() -> onOverdue(number), WAIT_MS + ANSWER_MS);
   }
 
@@ -225,18 +231,19 @@
    * Takes an answer. That to a call that was begun anew counts too, unless a later one was answered
    * before: a store that is slow all the time would else never be heard.
    */
-  private void onChanges(long number, RegistryChanges changes, UpperTime sent) {
+  private void onChanges(long number, Answer answer) {
+    RegistryChanges changes = answer.changes;
     if (closed || number <= answeredNumber) {
       return;
     }
     if (number != callNumber) {
-      onLateChanges(number, changes, sent);
+      onLateChanges(number, answer);
       return;
     }
     answeredNumber = number;
     switch (changes.status()) {
       case ANSWERED -> {
-        onAnswer(provedBy(changes, sent));
+        onAnswer(answer.proved);
         take(changes);
         control.schedule(this::watch, PACE_MS);
       }
@@ -248,17 +255,24 @@
     }
   }
 
-  private void onLateChanges(long number, RegistryChanges changes, UpperTime sent) {
-    if (changes.status() == RegistryChanges.Status.ANSWERED) {
+  private void onLateChanges(long number, Answer answer) {
+    if (answer.changes.status() == RegistryChanges.Status.ANSWERED) {
       answeredNumber = number;
-      onAnswer(provedBy(changes, sent));
-      take(changes);
+      onAnswer(answer.proved);
+      take(answer.changes);
     }
   }
 
-  /** Without a change the registry looked last when the wait was over. */
+  /**
+   * Without a change the registry looked last when the wait was over. Called as soon as the answer
+   * is there, on any thread: what waits for the control thread does not become newer.
+   */
   private UpperTime provedBy(RegistryChanges changes, UpperTime sent) {
-    boolean unchanged = changes.written().isEmpty() && changes.removed().isEmpty();
+    boolean unchanged =
+        changes.status() == RegistryChanges.Status.ANSWERED
+            && changes.written().isEmpty()
+            && changes.removed().isEmpty()
+            && changes.unreadable().isEmpty();
     boolean waited = unchanged && clock.upper().sinceMs(sent) >= WAIT_MS;
     return waited ? sent.plusMs(WAIT_MS) : sent;
   }
@@ -333,4 +347,7 @@
       onChange.run();
     }
   }
+
+  /** What the registry answered, and as of when that is known to hold. */
+  private record Answer(RegistryChanges changes, UpperTime proved) {}
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.exchange.ExchangeProfile;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.send.SendCondition;
 import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.gateway.observe.RequestOutcome;
 import io.cuminvalve.router.caller.CallerHeaders;
@@ -163,9 +164,9 @@
     }
   }
 
-  /** Another target may do; while the registry is not known, none does. */
+  /** Another target may do; while what is known of all of them is too old, none does. */
   private void onTargetUnfit(SendObstacle obstacle) {
-    if (obstacle.outdated()) {
+    if (obstacle.condition() == SendCondition.TARGET_SERVES && obstacle.outdated()) {
       decide(() -> machine.onNoSlot(obstacle.label()));
     } else {
       long nowMs = services.clock().nowMs();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -107,7 +107,7 @@
     Optional<Route> route =
         configuration.find(CallerRequest.hostOf(request), request.getHttpURI().getPath());
     if (route.isEmpty()) {
-      refuse(request, response, CallerAnswer.NOT_FOUND, "no_route", callback);
+      refuseUnknown(request, response, callback);
       return;
     }
     if (services.clock().upper().sinceMs(arrived) >= timeMs(request, route.get())) {
@@ -126,6 +126,15 @@
     }
   }
 
+  /** What may be in force elsewhere is not denied here. */
+  private void refuseUnknown(Request request, Response response, Callback callback) {
+    if (services.state().isConfigurationCurrent(services.clock().upper())) {
+      refuse(request, response, CallerAnswer.NOT_FOUND, "no_route", callback);
+    } else {
+      refuse(request, response, CallerAnswer.UNAVAILABLE, "configuration_outdated", callback);
+    }
+  }
+
   private static boolean hasBody(Request request) {
     return request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -20,10 +20,7 @@
 final class RequestFacts implements SendFacts {
 
   /** A target may take requests for 2 s after it has said that it leaves; the way takes some. */
-  static final long TARGETS_MAX_AGE_MS = 1_900;
-
-  /** A configuration has to be in force after 2 s. */
-  static final long CONFIGURATION_MAX_AGE_MS = 1_900;
+  static final long TARGETS_MAX_AGE_MS = 1_950;
 
   /** Permits that were held up would all be used at once. */
   static final long PERMIT_MAX_AGE_MS = 500;
@@ -71,11 +68,12 @@
   }
 
   private SendFact targetServes(TargetId target) {
+    // Read before the targets: a change in between may make them newer than this says, not older.
+    UpperTime asOf = services.state().targetsConfirmed();
     boolean serves =
         services.state().current().target(target).filter(FleetTarget::isReady).isPresent()
             && !services.departures().isLeaving(target);
-    return SendFact.heard(
-        serves, services.state().targetsConfirmed(), unlessSilent(TARGETS_MAX_AGE_MS));
+    return SendFact.heard(serves, asOf, unlessSilent(TARGETS_MAX_AGE_MS));
   }
 
   private SendFact limitKept(TargetId target, UpperTime now) {
@@ -99,6 +97,7 @@
   }
 
   private SendFact routeInForce() {
+    UpperTime asOf = services.state().configurationConfirmed();
     Optional<RoutingConfiguration> known = services.state().current().configuration();
     boolean inForce =
         known
@@ -107,8 +106,7 @@
                     configuration.version() == call.configurationVersion()
                         || leadsToService(configuration))
             .isPresent();
-    return SendFact.heard(
-        inForce, services.state().configurationConfirmed(), unlessSilent(CONFIGURATION_MAX_AGE_MS));
+    return SendFact.heard(inForce, asOf, unlessSilent(services.state().configurationMaxAgeMs()));
   }
 
   private boolean leadsToService(RoutingConfiguration configuration) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.function.UnaryOperator;
 
@@ -20,6 +21,7 @@
   private volatile UpperTime targetsConfirmed = UpperTime.NEVER;
   private volatile OptionalLong movesHeldUpSinceMs = OptionalLong.empty();
   private volatile Supplier<UpperTime> configurationConfirmed = () -> UpperTime.NEVER;
+  private volatile LongSupplier configurationMaxAgeMs = () -> 0;
   private volatile BooleanSupplier storeSilent = () -> false;
 
   /**
@@ -73,11 +75,14 @@
    *
    * @param confirmed returns when the configuration known was last the newest one; for any thread;
    *     not null
+   * @param maxAgeMs returns for how long the configuration may go without that; milliseconds; for
+   *     any thread; not null
    * @param silent tells whether the store has refused, or left without an answer, what this process
    *     asked last; for any thread; not null
    */
-  public void watch(Supplier<UpperTime> confirmed, BooleanSupplier silent) {
+  public void watch(Supplier<UpperTime> confirmed, LongSupplier maxAgeMs, BooleanSupplier silent) {
     configurationConfirmed = confirmed;
+    configurationMaxAgeMs = maxAgeMs;
     storeSilent = silent;
   }
 
@@ -90,6 +95,25 @@
     return configurationConfirmed.get();
   }
 
+  /**
+   * Returns for how long the configuration may go without being confirmed.
+   *
+   * @return milliseconds
+   */
+  public long configurationMaxAgeMs() {
+    return configurationMaxAgeMs.getAsLong();
+  }
+
+  /**
+   * Tells whether the configuration known has to be the newest one, as far as the store answers.
+   *
+   * @param now the time; not null
+   * @return false if a newer one may have to be in force
+   */
+  public boolean isConfigurationCurrent(UpperTime now) {
+    return now.sinceMs(configurationConfirmed()) <= configurationMaxAgeMs() || isStoreSilent();
+  }
+
   /**
    * Tells whether the store has refused, or left without an answer, what this process asked last.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -233,7 +233,9 @@
 
   /** Counts an attempt that was given up because the target did not answer in time. */
   void onTooLate() {
-    end = AttemptEnd.NO_ANSWER;
+    if (obstacle.isEmpty()) {
+      end = AttemptEnd.NO_ANSWER;
+    }
   }
 
   @Override
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -349,7 +349,7 @@
     busy.start();
     controlClock.advance(0);
     busy.state.update(snapshot -> snapshot.withTargets(List.of(READY)));
-    busy.state.watch(clock::upper, () -> false);
+    busy.state.watch(clock::upper, () -> 1_900, () -> false);
     busy.state.confirmTargets(clock.upper());
     assertThat(busy.traffic.sendsTo(A)).isTrue();
     busy.traffic.hearLeaving(A);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
@@ -137,7 +137,7 @@
         new FleetTarget(
             new TargetId("files-2"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
     // What is known of targets and routes does not grow old here: only the caller matters.
-    state.watch(this::upper, () -> true);
+    state.watch(this::upper, () -> 1_900, () -> true);
     state.update(
         snapshot ->
             snapshot.withTargets(List.of(registered, other)).withConfiguration(configuration));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
@@ -62,7 +62,7 @@
   public SendingGateway(RoutingState state, MillisClock clock) {
     this.clock = clock;
     state.update(snapshot -> snapshot.withConfiguration(CONFIGURATION));
-    state.watch(clock::upper, () -> false);
+    state.watch(clock::upper, () -> 1_900, () -> false);
     DecisionLog log = new DecisionLog(clock, 1, line -> {});
     Timers timers = (task, delayMs) -> () -> {};
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, new SplittableRandom(1));
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -152,13 +152,19 @@
       long timeoutMs,
       BooleanSupplier mayBegin) {
     Request request = newRequest(method, url, headers, contentType, body);
-    request.onRequestBegin(begun -> withholdUnless(begun, mayBegin.getAsBoolean()));
+    request.onRequestBegin(begun -> withholdUnless(begun, mayBegin));
     return send(request, timeoutMs);
   }
 
-  private static void withholdUnless(Request request, boolean allowed) {
-    if (!allowed) {
+  private static void withholdUnless(Request request, BooleanSupplier mayBegin) {
+    try {
+      if (!mayBegin.getAsBoolean()) {
+        request.abort(new WithheldException());
+      }
+    } catch (RuntimeException broken) {
+      // The library would go on and send it.
       request.abort(new WithheldException());
+      throw broken;
     }
   }
 
@@ -185,7 +191,8 @@
       BooleanSupplier mayBegin) {
     Request request = newRequest(method, url, headers, contentType, body);
     request.onRequestBegin(
-        begun -> withholdUnless(begun, isOnKnownConnection(begun) && mayBegin.getAsBoolean()));
+        begun ->
+            withholdUnless(begun, () -> isOnKnownConnection(begun) && mayBegin.getAsBoolean()));
     return send(request, timeoutMs);
   }
 
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -40,7 +40,7 @@
   private Runnable onGone = () -> {};
 
   /** How many looks of the selector had begun when its interest was set last. */
-  private long pollsAtInterest;
+  private long pollsAtInterest = Long.MAX_VALUE;
 
   CallerEndPoint(
       SocketChannel channel,
@@ -78,7 +78,7 @@
    */
   public boolean isCallerPresent() {
     synchronized (lock) {
-      if (watching && reader == null && !endSeen && !BufferUtil.isFull(held)) {
+      if (watching && reader == null && !endSeen && hasRoom(held)) {
         try {
           endSeen = read(held) < 0;
         } catch (IOException broken) {
@@ -99,8 +99,8 @@
     synchronized (lock) {
       onGone = callback;
       gone = endSeen;
-      if (!watching && !BufferUtil.hasContent(held) && !endSeen) {
-        watching = super.tryFillInterested(new Watch());
+      if (!endSeen) {
+        beginWatching();
       }
     }
     if (gone) {
@@ -128,8 +128,9 @@
   private int read(ByteBuffer buffer) throws IOException {
     UpperTime now = clock.upper();
     long nowNs = NanoTime.now();
+    boolean hadRoom = hasRoom(buffer);
     int read = super.fill(buffer);
-    if (read == 0) {
+    if (read == 0 && hadRoom) {
       arrivals.onEmpty(now);
     } else if (read > 0) {
       arrivals.onBytes(nowNs);
@@ -152,7 +153,20 @@
   public void updateKey() {
     super.updateKey();
     synchronized (lock) {
-      pollsAtInterest = selector.polls();
+      pollsAtInterest = super.isFillInterested() ? selector.polls() : Long.MAX_VALUE;
+    }
+  }
+
+  private static boolean hasRoom(ByteBuffer buffer) {
+    return !BufferUtil.hasContent(buffer) || BufferUtil.space(buffer) > 0;
+  }
+
+  /** Bytes of next requests may come before the end: it goes on while there is room for them. */
+  private void beginWatching() {
+    if (!watching && hasRoom(held)) {
+      watching = true;
+      boolean begun = super.tryFillInterested(new Watch());
+      watching &= begun;
     }
   }
 
@@ -209,10 +223,9 @@
 
   private Runnable readAhead() {
     try {
-      int read = read(held);
-      endSeen = read < 0;
-      if (read == 0) {
-        watching = super.tryFillInterested(new Watch());
+      endSeen |= hasRoom(held) && read(held) < 0;
+      if (!endSeen) {
+        beginWatching();
       }
     } catch (IOException broken) {
       endSeen = true;
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/WatchingConnector.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/WatchingConnector.java
@@ -6,8 +6,9 @@
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Collections;
 import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.WeakHashMap;
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
@@ -31,7 +32,8 @@
   private static final int NO_ACCEPTORS = 0;
 
   private final MillisClock clock;
-  private final Map<SelectableChannel, UpperTime> acceptedAfter = new ConcurrentHashMap<>();
+  private final Map<SelectableChannel, UpperTime> acceptedAfter =
+      Collections.synchronizedMap(new WeakHashMap<>());
   private volatile UpperTime nothingToAccept = UpperTime.NEVER;
 
   /**
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
@@ -60,10 +60,14 @@
   }
 
   private void onRequestBegin(Request begun) {
-    HttpFields.Mutable headers = (HttpFields.Mutable) begun.getHeaders();
-    if (listener.onConnection(headers)) {
-      handedOver = true;
-    } else {
+    try {
+      handedOver = listener.onConnection((HttpFields.Mutable) begun.getHeaders());
+    } catch (RuntimeException broken) {
+      // The library would go on and send it.
+      begun.abort(broken);
+      return;
+    }
+    if (!handedOver) {
       begun.abort(new CancellationException("given up before the first byte"));
     }
   }
