List a schedule in which late news voids grants that the next run took

What callers would see: two targets hold a key for up to a lease. Seen in generated schedules with news told again only, in which other names come between two runs far more often than in use. No order finds it absent. The next run of the owner's name takes the renewals. The news, 2.6 s late and told to this holder once, voids them: answers to grants do not say which run gave them, and the news does not say since when it holds. Not mended: the desk gets the same calls as in anotherRunInItsPlaceEndsEveryLease, where the keys have to move at once. It needs a fact that the desk does not get: the run that answered, or proof by an order sent after the last grant. Checks: the test fails on this commit.

--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseNewsTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseNewsTest.java
@@ -100,6 +100,19 @@
     checkKeysAt(2_430);
   }
 
+  /**
+   * Seen: two targets held a key after late news that its owner had ended, told once.
+   *
+   * <p>How: a run of another name had the owner's address for 200 ms, between two orders. Nothing
+   * found the owner absent; the next run of its name took the renewals. The news voided these too.
+   */
+  @Test
+  void lateNewsSparesGrantsThatTheNextRunTookUnnoticed() {
+    LeaseWorld world = new LeaseWorld(1289, true, true).withNewsToldAgain();
+    world.run(60_000);
+    assertThat(world.promises().violations()).isEmpty();
+  }
+
   private void moveAllToTheOther(long nowMs) {
     desk.move(KeyRange.ALL, OTHER, nowMs);
     desk.onWritten(desk.version());
