--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
@@ -178,6 +178,17 @@
     assertThat(seen).containsExactlyElementsIn(Violation.values());
   }
 
+  /** The option does what it says: each schedule tells news again, and names come back. */
+  @Example
+  void newsIsToldAgainAndNamesComeBackAfterOthers() {
+    for (long seed = 0; seed < FIXED_SEEDS; seed++) {
+      LeaseWorld world = new LeaseWorld(seed, true, true).withNewsToldAgain();
+      world.run(DURATION_MS);
+      assertThat(world.newsToldAgain()).isGreaterThan(0);
+      assertThat(world.returns()).isGreaterThan(0);
+    }
+  }
+
   /**
    * The schedules get to the point: every trouble comes up, and orders for ended runs arrive. In
    * one of them (seed 6) all those are grants: no release is due while another run has the address.
