--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -255,8 +255,11 @@
     } else {
       count(RequestOutcome.CALLER_GONE);
       log("caller_gone", current, "closed");
-      call.callback().failed(new CallerGoneException());
-      onEnded.run();
+      try {
+        call.callback().failed(new CallerGoneException());
+      } finally {
+        onEnded.run();
+      }
     }
   }
 
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/HttpCaller.java
@@ -161,8 +161,8 @@
       if (!mayBegin.getAsBoolean()) {
         request.abort(new WithheldException());
       }
-    } catch (RuntimeException broken) {
-      // The library would go on and send it.
+    } catch (Throwable broken) {
+      // The library would go on and send it, whatever is thrown here.
       request.abort(new WithheldException());
       throw broken;
     }
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
@@ -62,10 +62,10 @@
   private void onRequestBegin(Request begun) {
     try {
       handedOver = listener.onConnection((HttpFields.Mutable) begun.getHeaders());
-    } catch (RuntimeException broken) {
-      // The library would go on and send it.
+    } catch (Throwable broken) {
+      // The library would go on and send it, whatever is thrown here.
       begun.abort(broken);
-      return;
+      throw broken;
     }
     if (!handedOver) {
       begun.abort(new CancellationException("given up before the first byte"));
