Let aborts of one attempt exclude each other

What callers could have seen: a request that was answered as not run reached its target. Cause: the library ignores an abort while another one is under way, and goes on sending until that has taken effect. Why it holds: whoever forbids the first byte waits for the abort that is under way.

--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
@@ -22,6 +22,7 @@
   private final TargetListener listener;
   private final boolean takesUnboundedAnswers;
   private final AtomicBoolean decided = new AtomicBoolean();
+  private final Object abortLock = new Object();
 
   /**
    * Set before the first byte can be written, never after: it may claim too much, never too little.
@@ -56,7 +57,17 @@
    * @param reason why; not null
    */
   public void abandon(String reason) {
-    request.abort(new CancellationException(reason));
+    abort(new CancellationException(reason));
+  }
+
+  /**
+   * The library ignores an abort while another one is under way, and may go on sending until that
+   * has taken effect: whoever forbids the first byte has to wait for it.
+   */
+  private void abort(Throwable cause) {
+    synchronized (abortLock) {
+      request.abort(cause);
+    }
   }
 
   private void onRequestBegin(Request begun) {
@@ -64,18 +75,18 @@
       handedOver = listener.onConnection((HttpFields.Mutable) begun.getHeaders());
     } catch (Throwable broken) {
       // The library would go on and send it, whatever is thrown here.
-      begun.abort(broken);
+      abort(broken);
       throw broken;
     }
     if (!handedOver) {
-      begun.abort(new CancellationException("given up before the first byte"));
+      abort(new CancellationException("given up before the first byte"));
     }
   }
 
   private void onContentSource(Response response, Content.Source body) {
     if (!hasRecognisableEnd(response)) {
       fail(new UnboundedAnswerException());
-      request.abort(new UnboundedAnswerException());
+      abort(new UnboundedAnswerException());
       return;
     }
     if (decided.compareAndSet(false, true)) {
