--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -245,7 +245,16 @@
     if (waiting != null) {
       waiting.failed(cause);
     }
-    gone.run();
+    tell(gone);
+  }
+
+  /** A close may be noticed within a read, whose lock the listener must not hold. */
+  private void tell(Runnable gone) {
+    if (Thread.holdsLock(lock)) {
+      executor.execute(gone);
+    } else {
+      gone.run();
+    }
   }
 
   /** Waits for the connection to become readable. */
