--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -131,11 +131,6 @@
     return news;
   }
 
-  private void noteNewest() {
-    newestTerm = targets.term();
-    newestVersion = targets.version();
-  }
-
   /** Takes all owners. Tells whether they are news. */
   boolean take(RoutesPush push) {
     boolean sameTerm = push.term() == routes.term();
@@ -177,6 +172,11 @@
     return true;
   }
 
+  private void noteNewest() {
+    newestTerm = targets.term();
+    newestVersion = targets.version();
+  }
+
   private static Map<TargetId, FleetTarget> byId(List<FleetTarget> targets) {
     Map<TargetId, FleetTarget> result = new LinkedHashMap<>();
     targets.forEach(target -> result.put(target.id(), target));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -178,7 +178,7 @@
     logUnreadable(listing.unreadable());
     revision = listing.revision();
     noteEpoch(listing.epoch());
-    boolean first = !listed;
+    final boolean first = !listed;
     listed = true;
     Set<TargetId> present = new HashSet<>();
     for (FleetTarget target : listing.targets()) {
@@ -232,7 +232,7 @@
    * before: a store that is slow all the time would else never be heard.
    */
   private void onChanges(long number, Answer answer) {
-    RegistryChanges changes = answer.changes;
+    final RegistryChanges changes = answer.changes;
     if (closed || number <= answeredNumber) {
       return;
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
@@ -157,8 +157,7 @@
     RequestMetrics.RouteCounts sent = requests.sent();
     return HistogramSnapshot.builder()
         .name("cuminvalve_request_send_seconds")
-        .help(
-            "From the earliest time at which a request may have arrived to its first byte at a target.")
+        .help("From the earliest arrival that is possible for a request to its first byte.")
         .dataPoint(
             HistogramSnapshot.HistogramDataPointSnapshot.builder()
                 .classicHistogramBuckets(
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
@@ -45,13 +45,13 @@
   }
 
   @Test
-  void nothingIsSentInATermThatIsOver() {
+  void nothingIsSentOnceTheTermIsOver() {
     holdsTerm = false;
     assertThat(check()).hasValue(new SendObstacle(SendCondition.TERM_HELD, false));
   }
 
   @Test
-  void nothingIsSentInATermThatWasNotConfirmedForTooLong() {
+  void nothingIsSentIfTheTermWasNotConfirmedForTooLong() {
     nowMs += GRACE_MS + 1;
     decided = new UpperTime(nowMs);
     assertThat(check()).hasValue(new SendObstacle(SendCondition.TERM_HELD, true));
@@ -60,7 +60,7 @@
   }
 
   @Test
-  void nothingIsSentToARunThatHasEndedMeanwhile() {
+  void nothingIsSentToRunsThatHaveEndedMeanwhile() {
     ended.add(TARGET);
     assertThat(check()).hasValue(new SendObstacle(SendCondition.TARGET_RUNS, false));
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CallerThatLeftTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CallerThatLeftTest.java
@@ -121,11 +121,11 @@
 
   /** Guards against: the caller leaves during the connect, and its close is read too late. */
   @Test
-  void requestsThatWaitForAConnectionReachNoTargetIfTheCloseIsUnread() throws Exception {
+  void requestsThatWaitForConnectionsReachNoTargetIfTheCloseIsUnread() throws Exception {
     gateway.configure().holdTargetThreads();
     int before = gateway.inFlight();
     Call call = gateway.connect().send("gone-0", "/files/", DEADLINE_MS);
-    Call next = gateway.connect().send("stays", "/files/", DEADLINE_MS);
+    final Call next = gateway.connect().send("stays", "/files/", DEADLINE_MS);
     LateGateway.await(() -> gateway.inFlight() == before + 2);
     gateway.holdCallerThreads();
     call.close();
@@ -140,7 +140,7 @@
 
   /** Guards against: the caller leaves during the connect, which is noticed but has no effect. */
   @Test
-  void requestsThatWaitForAConnectionReachNoTargetIfTheCloseIsRead() throws Exception {
+  void requestsThatWaitForConnectionsReachNoTargetIfTheCloseIsRead() throws Exception {
     gateway.configure().holdTargetThreads();
     int before = gateway.inFlight();
     Call call = gateway.connect().send("gone-0", "/files/", DEADLINE_MS);
@@ -197,7 +197,7 @@
 
   /** Guards against: the same on a connection that has been used before. */
   @Test
-  void timeInTheSocketOfAKeptConnectionIsTakenOffWhatTheTargetIsTold() throws Exception {
+  void timeInTheSocketOfKeptConnectionsIsTakenOffWhatTheTargetIsTold() throws Exception {
     gateway.configure().warm(1);
     Call call = gateway.connect().send("first", "/files/", DEADLINE_MS);
     assertThat(call.status()).isEqualTo(200);
--- a/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/HttpCallerTest.java
@@ -118,7 +118,7 @@
 
   /** An order whose connection came late went out although it had been forbidden meanwhile. */
   @Test
-  void whatIsForbiddenOnceThereIsAConnectionIsNotSent() throws IOException {
+  void whatIsForbiddenWhenItsConnectionComesIsNotSent() throws IOException {
     String url = "http://127.0.0.1:" + server.getLocalPort() + "/late";
     CompletableFuture<HttpAnswer> withheld =
         caller.callIf("POST", url, Map.of(), "text/plain", new byte[0], BOUND_MS, () -> false);
--- a/cuminvalve-router/src/test/java/io/cuminvalve/router/caller/ArrivalBoundsTest.java
+++ b/cuminvalve-router/src/test/java/io/cuminvalve/router/caller/ArrivalBoundsTest.java
@@ -29,7 +29,7 @@
 
   /** Nothing was seen between two reads: the bytes of the second may have been there before. */
   @Test
-  void readsInARowCountFromTheFirst() {
+  void readsInSequenceCountFromTheFirst() {
     bounds.onEmpty(new UpperTime(500));
     bounds.onBytes(1_000);
     bounds.onBytes(3_000);
