Wait in a test for at least as many held threads as it needs

requestsThatWaitForConnectionsReachNoTargetIfTheCloseIsRead ran into its time limit once beside a build: the last thread had been held as well, so the awaited number was passed.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateGateway.java
@@ -224,8 +224,8 @@
     for (int i = 0; i < TARGET_THREADS; i++) {
       connect().send(RawTarget.HELD + i, "/files/", ROUTE_TIMEOUT_MS);
     }
-    // The last thread only selects: it leaves tasks to others, which are all held.
-    await(() -> targetThreadsHeld.get() == TARGET_THREADS - 1);
+    // The last thread may only select: it leaves tasks to others, which are all held.
+    await(() -> targetThreadsHeld.get() >= TARGET_THREADS - 1);
   }
 
   void freeTargetThreads() {
