--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -66,7 +66,7 @@
 
   /**
    * Older knowledge of the targets is looked up here: two calls of the holder to a slow store, its
-   * pause, the longest pause between hellos; what is left of 1.9 s is for the look.
+   * pause, the longest pause between hellos; what is left of 1.95 s is for the look.
    */
   private static final long OUTDATED_TARGETS_MS = 1_500;
 
