Let only the answer to an order of its own void leases, not news of an end

Cause: news that an owner had ended voided every lease in its name that no mark protected. Answers to grants do not say which run gave them; the next run of the name had come back between two orders, had taken three renewals unnoticed, and the news came 2.7 s late.

Change: a lease is void early only if another target answers at the address to an order that was sent after the grant had ended: whichever run took it has ended by then. All other news moves the keys and has a release sent to the old address at once. Releases are no longer withheld from targets that are said to have ended, and the holder keeps their addresses.

Why it works: the send time of the order and the end of the grant are read from one clock of one process, so nothing depends on how late news is, or how often it is told. Leases of earlier holders are covered, as those renew only over connections that they had.

LeaseDeskTest.anotherRunInItsPlaceEndsEveryLease asserted the fault itself: that news without a time voids leases. It is replaced by one which asserts the same for the answer to an order, and by one which asserts that news alone ends no lease a millisecond early. SendKind.ORDER is GRANT and RELEASE now; the tests of the gate check both.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRange.java
@@ -27,8 +27,8 @@
   private boolean grantInFlight;
   private long nextGrantMs;
 
-  /** Until when a lease of the owner may be in force, without the grant in flight. */
-  private long heldUntilMs;
+  /** What this holder granted the owner, without the grant in flight. */
+  private GrantedLeases leases = GrantedLeases.NONE;
 
   /** Until when a lease of the owner may be in force that an earlier holder granted. */
   private long foreignUntilMs;
@@ -38,12 +38,6 @@
 
   private long unansweredUntilMs;
 
-  /** Whether an order, or news, told that the owner is not there: the next run may be. */
-  private boolean absenceSeen;
-
-  /** Until when a lease may be in force by a grant that was sent after that. */
-  private long afterAbsenceUntilMs;
-
   HeldRange(KeyRange range, TargetId owner, long token, long neededVersion) {
     this.range = range;
     this.owner = owner;
@@ -61,12 +55,10 @@
     copy.tokenSent = tokenSent;
     copy.grantInFlight = grantInFlight;
     copy.nextGrantMs = nextGrantMs;
-    copy.heldUntilMs = heldUntilMs;
+    copy.leases = leases;
     copy.foreignUntilMs = foreignUntilMs;
     copy.inFlightUntilMs = inFlightUntilMs;
     copy.unansweredUntilMs = unansweredUntilMs;
-    copy.absenceSeen = absenceSeen;
-    copy.afterAbsenceUntilMs = afterAbsenceUntilMs;
     return copy;
   }
 
@@ -111,28 +103,19 @@
     return previousOwners.isEmpty() && !stale && !grantInFlight && nextGrantMs <= nowMs;
   }
 
-  private void assumeHeldUntil(long untilMs) {
-    heldUntilMs = Math.max(heldUntilMs, untilMs);
-  }
-
   void assumeForeignLease(long untilMs) {
     foreignUntilMs = untilMs;
   }
 
   /** Returns until when the lease runs that this holder granted last; 0 if it granted none. */
   long renewedUntilMs() {
-    return heldUntilMs;
+    return leases.untilMs();
   }
 
   /** Returns until when the owner may hold the range, by whatever lease. */
   long ownerUntilMs() {
-    long ours = grantInFlight ? Math.max(heldUntilMs, inFlightUntilMs) : heldUntilMs;
-    return Math.max(ours, foreignUntilMs);
-  }
-
-  /** Returns until when a later run of the owner may hold the range, by a grant for the owner. */
-  private long nextRunUntilMs() {
-    return grantInFlight ? Math.max(afterAbsenceUntilMs, inFlightUntilMs) : afterAbsenceUntilMs;
+    long underWayMs = grantInFlight ? inFlightUntilMs : 0;
+    return Math.max(Math.max(leases.untilMs(), underWayMs), foreignUntilMs);
   }
 
   /** An earlier holder told until when a target may hold these keys. */
@@ -147,7 +130,7 @@
   }
 
   void assumePreviousOwner(TargetId id, long foreignUntil) {
-    previousOwners.put(id, new PreviousOwner(0, foreignUntil, 0, 0, 0));
+    previousOwners.put(id, new PreviousOwner(GrantedLeases.NONE, 0, foreignUntil, 0));
   }
 
   /** Returns for how long each previous owner may still hold the range. */
@@ -159,22 +142,17 @@
   }
 
   void reassign(TargetId newOwner, long newToken, long version, long nowMs) {
-    long untilMs = grantInFlight ? Math.max(heldUntilMs, inFlightUntilMs) : heldUntilMs;
+    long underWayMs = grantInFlight ? inFlightUntilMs : 0;
     long openUntilMs = grantInFlight ? inFlightUntilMs : unansweredUntilMs;
     previousOwners.values().forEach(PreviousOwner::restart);
-    if (Math.max(untilMs, foreignUntilMs) > nowMs) {
-      previousOwners.put(
-          owner,
-          new PreviousOwner(
-              untilMs, foreignUntilMs, openUntilMs, nextRunUntilMs(), afterAbsenceUntilMs));
+    if (ownerUntilMs() > nowMs) {
+      previousOwners.put(owner, new PreviousOwner(leases, underWayMs, foreignUntilMs, openUntilMs));
     }
     owner = newOwner;
     neededVersion = version;
-    heldUntilMs = 0;
+    leases = GrantedLeases.NONE;
     foreignUntilMs = 0;
     unansweredUntilMs = 0;
-    absenceSeen = false;
-    afterAbsenceUntilMs = 0;
     handover = Optional.empty();
     restartWith(newToken);
     granted = false;
@@ -186,20 +164,18 @@
     for (TargetId id : List.copyOf(previousOwners.keySet())) {
       if (run.isLaterRunOf(id)) {
         PreviousOwner previous = previousOwners.remove(id);
-        previous.restart();
+        previous.onRestarted();
         previousOwners.merge(run, previous, PreviousOwner::joinedWith);
         takesOver = true;
       }
     }
     if (run.isLaterRunOf(owner)) {
       if (grantInFlight) {
-        assumeHeldUntil(inFlightUntilMs);
+        leases = leases.withUnobserved(inFlightUntilMs);
         unansweredUntilMs = inFlightUntilMs;
         grantInFlight = false;
       }
       owner = run;
-      absenceSeen = false;
-      afterAbsenceUntilMs = 0;
       granted = false;
       nextGrantMs = 0;
       takesOver = true;
@@ -238,17 +214,16 @@
     inFlightUntilMs = heldUntil;
   }
 
-  void onGrantEnded(OrderOutcome outcome, long nextMs) {
+  void onGrantEnded(OrderOutcome outcome, long nowMs, long nextMs) {
     grantInFlight = false;
     nextGrantMs = nextMs;
     unansweredUntilMs = outcome == OrderOutcome.UNANSWERED ? inFlightUntilMs : 0;
-    noteAbsence(outcome);
     switch (outcome) {
       case DONE -> {
         granted = true;
-        assumeHeldUntil(inFlightUntilMs);
+        leases = leases.with(inFlightUntilMs, nowMs);
       }
-      case UNANSWERED -> assumeHeldUntil(inFlightUntilMs);
+      case UNANSWERED -> leases = leases.with(inFlightUntilMs, nowMs);
       case STALE -> {
         stale = true;
         granted = false;
@@ -260,14 +235,6 @@
     }
   }
 
-  private void noteAbsence(OrderOutcome outcome) {
-    if (outcome == OrderOutcome.NOT_SENT || outcome == OrderOutcome.OTHER_TARGET) {
-      absenceSeen = true;
-    } else if (absenceSeen) {
-      afterAbsenceUntilMs = Math.max(afterAbsenceUntilMs, inFlightUntilMs);
-    }
-  }
-
   void onReleased(TargetId id, Optional<String> passedOn, long nextMs) {
     PreviousOwner previous = previousOwners.get(id);
     if (previous != null) {
@@ -278,20 +245,26 @@
     }
   }
 
-  /**
-   * What the run held is void. The next run of its name may have taken later grants for it, or take
-   * the one in flight; these still count when the news is told again.
-   */
-  void onGone(TargetId id) {
+  /** The target is said to have ended: it is asked at once, which proves it or not. */
+  void askSoon(TargetId id) {
+    PreviousOwner previous = previousOwners.get(id);
+    if (previous != null) {
+      previous.releaseSoon();
+    }
+    if (owner.equals(id)) {
+      renewSoon();
+    }
+  }
+
+  /** Another target answered to an order for this one that was sent then. */
+  void onOtherTarget(TargetId id, long sentMs) {
     PreviousOwner previous = previousOwners.get(id);
     if (previous != null) {
-      previous.onGone();
+      previous.onOtherTarget(sentMs);
     }
     if (owner.equals(id)) {
-      heldUntilMs = afterAbsenceUntilMs;
+      leases = leases.withoutThoseEndedBefore(sentMs);
       foreignUntilMs = 0;
-      unansweredUntilMs = Math.min(unansweredUntilMs, afterAbsenceUntilMs);
-      absenceSeen = true;
     }
   }
 
@@ -310,10 +283,8 @@
 
   HeldRange joinedWith(HeldRange next) {
     HeldRange joined = withKeys(new KeyRange(range.first(), next.range.last()));
-    joined.heldUntilMs = Math.max(heldUntilMs, next.heldUntilMs);
+    joined.leases = leases.joinedWith(next.leases);
     joined.foreignUntilMs = Math.max(foreignUntilMs, next.foreignUntilMs);
-    joined.absenceSeen = absenceSeen || next.absenceSeen;
-    joined.afterAbsenceUntilMs = Math.max(afterAbsenceUntilMs, next.afterAbsenceUntilMs);
     joined.neededVersion = Math.max(neededVersion, next.neededVersion);
     return joined;
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRanges.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/HeldRanges.java
@@ -35,6 +35,18 @@
     return ranges.stream().anyMatch(condition);
   }
 
+  /** Returns when a release was sent; 0 if nothing waits for its answer any more. */
+  long releaseSentMs(LeaseOrder.Release order) {
+    long sentMs = 0;
+    for (HeldRange held : ranges) {
+      PreviousOwner previous = held.previousOwners().get(order.target());
+      if (previous != null && held.token() == order.token()) {
+        sentMs = previous.releaseSentMs();
+      }
+    }
+    return sentMs;
+  }
+
   @Override
   public Iterator<HeldRange> iterator() {
     return ranges.iterator();
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseDesk.java
@@ -18,9 +18,10 @@
  *
  * <p>What it promises: an order that gives keys to a target is issued only once the assignment is
  * durable and every target that may have held them is proved not to: it answered a release that
- * carries the new token, or its lease has run out on the slowest clock allowed, or another run has
- * taken its place. A grant without an answer may be carried out later; until its time is over, a
- * release alone is no proof. Not safe for use by several threads.
+ * carries the new token, or its lease has run out on the slowest clock allowed, or another target
+ * answered in its place to an order that was sent after the last grant had ended. A grant without
+ * an answer may be carried out later; until its time is over, a release alone is no proof. Not safe
+ * for use by several threads.
  *
  * @since 0.2
  */
@@ -212,12 +213,14 @@
   }
 
   /**
-   * Learns that a target has ended: another run answers in its place.
+   * Learns that a target is said to have ended. This frees no key: the news may be old, and the
+   * next run of the target's name may have taken grants since. The target is asked at once, and who
+   * answers in its place proves it.
    *
    * @param id the target; not null
    */
   public void onGone(TargetId id) {
-    ranges.forEach(held -> held.onGone(id));
+    ranges.forEach(held -> held.askSoon(id));
   }
 
   /**
@@ -296,7 +299,7 @@
     for (Map.Entry<TargetId, PreviousOwner> entry : held.previousOwners().entrySet()) {
       boolean known = !entry.getKey().equals(UNKNOWN_OWNER);
       if (known && entry.getValue().isReleaseDue(nowMs) && mayAsk.test(entry.getKey())) {
-        entry.getValue().onReleaseSent();
+        entry.getValue().onReleaseSent(nowMs);
         orders.add(
             new LeaseOrder.Release(service, entry.getKey(), held.range(), held.token(), outage));
       }
@@ -322,7 +325,7 @@
    */
   public boolean onGrantEnded(
       LeaseOrder.Grant order, OrderOutcome outcome, long sentMs, long nowMs) {
-    noteEnded(order, outcome);
+    noteEnded(order, outcome, sentMs);
     long nextMs = outcome == OrderOutcome.DONE ? sentMs + renewMs() : nowMs + timings.retryMs();
     boolean opened = false;
     for (HeldRange held : ranges) {
@@ -331,13 +334,13 @@
       }
       if (held.token() == order.token() && held.owner().equals(order.target())) {
         boolean wasOpen = held.isOpen();
-        held.onGrantEnded(outcome, nextMs);
+        held.onGrantEnded(outcome, nowMs, nextMs);
         opened |= !wasOpen && held.isOpen();
         routesChanged |= wasOpen != held.isOpen();
       }
       PreviousOwner previous = held.previousOwners().get(order.target());
-      if (previous != null && outcome != OrderOutcome.UNANSWERED) {
-        previous.onGrantAnswered(outcome);
+      if (previous != null) {
+        previous.onGrantEnded(outcome, nowMs);
       }
     }
     return opened;
@@ -353,7 +356,7 @@
    */
   public void onReleaseEnded(
       LeaseOrder.Release order, OrderOutcome outcome, Optional<String> handover, long nowMs) {
-    noteEnded(order, outcome);
+    noteEnded(order, outcome, ranges.releaseSentMs(order));
     long nextMs = nowMs + timings.retryMs();
     for (HeldRange held : ranges) {
       if (!order.range().contains(held.range()) || held.token() != order.token()) {
@@ -370,9 +373,9 @@
     }
   }
 
-  private void noteEnded(LeaseOrder order, OrderOutcome outcome) {
+  private void noteEnded(LeaseOrder order, OrderOutcome outcome, long sentMs) {
     if (outcome == OrderOutcome.OTHER_TARGET) {
-      onGone(order.target());
+      ranges.forEach(held -> held.onOtherTarget(order.target(), sentMs));
     }
   }
 
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/PreviousOwner.java
@@ -3,46 +3,37 @@
 /** What is known of a target that may still hold a range which another one is to get. */
 final class PreviousOwner {
 
-  /** Until when a lease of it may be in force that this holder granted. */
-  private long heldUntilMs;
+  /** What this holder granted it, without the grant in flight. */
+  private GrantedLeases leases;
 
-  /** The same for leases that earlier holders granted. */
+  /** Until when the grant may be in force that was in flight at the move; 0 if it has ended. */
+  private long inFlightUntilMs;
+
+  /** Until when a lease of it may be in force that earlier holders granted. */
   private long foreignUntilMs;
 
   /** Until when a grant that got no answer may still be carried out. */
   private long unansweredUntilMs;
 
-  /** Until when the next run of its name may hold the range, by a grant that was meant for it. */
-  private long nextRunUntilMs;
-
-  /** The same, without the grant that was in flight at the move. */
-  private long nextRunEarlierUntilMs;
-
-  private boolean gone;
   private boolean released;
   private boolean releaseInFlight;
+  private long releaseSentMs;
   private long nextReleaseMs;
 
   PreviousOwner(
-      long heldUntilMs,
-      long foreignUntilMs,
-      long unansweredUntilMs,
-      long nextRunUntilMs,
-      long nextRunEarlierUntilMs) {
-    this.heldUntilMs = heldUntilMs;
+      GrantedLeases leases, long inFlightUntilMs, long foreignUntilMs, long unansweredUntilMs) {
+    this.leases = leases;
+    this.inFlightUntilMs = inFlightUntilMs;
     this.foreignUntilMs = foreignUntilMs;
     this.unansweredUntilMs = unansweredUntilMs;
-    this.nextRunUntilMs = nextRunUntilMs;
-    this.nextRunEarlierUntilMs = nextRunEarlierUntilMs;
   }
 
   PreviousOwner copy() {
     PreviousOwner copy =
-        new PreviousOwner(
-            heldUntilMs, foreignUntilMs, unansweredUntilMs, nextRunUntilMs, nextRunEarlierUntilMs);
-    copy.gone = gone;
+        new PreviousOwner(leases, inFlightUntilMs, foreignUntilMs, unansweredUntilMs);
     copy.released = released;
     copy.releaseInFlight = releaseInFlight;
+    copy.releaseSentMs = releaseSentMs;
     copy.nextReleaseMs = nextReleaseMs;
     return copy;
   }
@@ -50,11 +41,10 @@
   /** Returns what holds for both of two that turn out to be the same target. */
   PreviousOwner joinedWith(PreviousOwner other) {
     return new PreviousOwner(
-        Math.max(heldUntilMs, other.heldUntilMs),
+        leases.joinedWith(other.leases),
+        Math.max(inFlightUntilMs, other.inFlightUntilMs),
         Math.max(foreignUntilMs, other.foreignUntilMs),
-        Math.max(unansweredUntilMs, other.unansweredUntilMs),
-        Math.max(nextRunUntilMs, other.nextRunUntilMs),
-        Math.max(nextRunEarlierUntilMs, other.nextRunEarlierUntilMs));
+        Math.max(unansweredUntilMs, other.unansweredUntilMs));
   }
 
   /** A new token is in use: what was answered under the one before no longer counts. */
@@ -64,13 +54,22 @@
     nextReleaseMs = 0;
   }
 
+  /** Its next run stands in for it. Answers to orders for the run before are not waited for. */
+  void onRestarted() {
+    restart();
+    if (inFlightUntilMs > 0) {
+      leases = leases.withUnobserved(inFlightUntilMs);
+      inFlightUntilMs = 0;
+    }
+  }
+
   boolean isFree(long nowMs) {
     return untilMs() <= nowMs || (released && unansweredUntilMs <= nowMs);
   }
 
   /** Returns until when any lease of it may be in force. */
   long untilMs() {
-    return Math.max(heldUntilMs, foreignUntilMs);
+    return Math.max(Math.max(leases.untilMs(), inFlightUntilMs), foreignUntilMs);
   }
 
   void limitForeign(long untilMs) {
@@ -81,8 +80,18 @@
     return !released && !releaseInFlight && nextReleaseMs <= nowMs;
   }
 
-  void onReleaseSent() {
+  void releaseSoon() {
+    nextReleaseMs = 0;
+  }
+
+  void onReleaseSent(long nowMs) {
     releaseInFlight = true;
+    releaseSentMs = nowMs;
+  }
+
+  /** Returns when the last release was sent. */
+  long releaseSentMs() {
+    return releaseSentMs;
   }
 
   void onReleaseEnded(boolean done, long nextMs) {
@@ -91,20 +100,21 @@
     nextReleaseMs = nextMs;
   }
 
-  /**
-   * The grant that was in flight at the move was answered: it was carried out, or never is. That
-   * tells nothing of earlier grants, which the next run may have taken.
-   */
-  void onGrantAnswered(OrderOutcome outcome) {
-    unansweredUntilMs = 0;
-    if (gone && outcome != OrderOutcome.DONE) {
-      heldUntilMs = Math.min(heldUntilMs, nextRunEarlierUntilMs);
+  /** The grant that was in flight at the move has ended. */
+  void onGrantEnded(OrderOutcome outcome, long nowMs) {
+    boolean carriedOut = outcome == OrderOutcome.DONE || outcome == OrderOutcome.UNANSWERED;
+    if (carriedOut && inFlightUntilMs > 0) {
+      leases = leases.with(inFlightUntilMs, nowMs);
+    }
+    inFlightUntilMs = 0;
+    if (outcome != OrderOutcome.UNANSWERED) {
+      unansweredUntilMs = 0;
     }
   }
 
-  void onGone() {
-    gone = true;
-    heldUntilMs = Math.min(heldUntilMs, nextRunUntilMs);
+  /** Another target answered to an order for this one that was sent then. */
+  void onOtherTarget(long sentMs) {
+    leases = leases.withoutThoseEndedBefore(sentMs);
     foreignUntilMs = 0;
   }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendCondition.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendCondition.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.core.send;
 
-import static io.cuminvalve.core.send.SendKind.ORDER;
+import static io.cuminvalve.core.send.SendKind.GRANT;
+import static io.cuminvalve.core.send.SendKind.RELEASE;
 import static io.cuminvalve.core.send.SendKind.REQUEST;
 
 import java.util.EnumSet;
@@ -21,16 +22,19 @@
   ATTEMPT_OPEN(REQUEST),
 
   /** The sender holds the term in which it decided on the order. */
-  TERM_HELD(ORDER),
+  TERM_HELD(GRANT, RELEASE),
 
   /** The order was decided on lately: a newer one may have been since. */
-  DECISION_RECENT(ORDER),
+  DECISION_RECENT(GRANT, RELEASE),
 
   /** The time that the caller gave is not over, counted from when the request may have arrived. */
   TIME_LEFT(REQUEST),
 
-  /** No other run answers at the address of the target, as far as is known. */
-  TARGET_RUNS(REQUEST, ORDER),
+  /**
+   * No other run answers at the address of the target, as far as is known. A release is sent all
+   * the same: it gives nobody keys, and who answers it proves who is there.
+   */
+  TARGET_RUNS(REQUEST, GRANT),
 
   /** The target is registered, takes requests and has not said that it leaves. */
   TARGET_SERVES(REQUEST),
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendKind.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendKind.java
@@ -10,6 +10,9 @@
   /** A request of a caller. */
   REQUEST,
 
-  /** A grant or a release of keys. */
-  ORDER
+  /** An order that gives keys to a target, or lets it keep them. */
+  GRANT,
+
+  /** An order that takes keys from a target. */
+  RELEASE
 }
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseDeskTest.java
@@ -119,12 +119,55 @@
     assertThat(grantsTo(B, due(endsMs))).hasSize(1);
   }
 
+  /** One answer is enough for all ranges of the target, whatever became of other releases. */
   @Test
-  void anotherRunInItsPlaceEndsEveryLease() {
+  void anotherTargetInItsPlaceEndsEveryLeaseGrantedBefore() {
+    desk.move(FIRST_KEYS, B, 100);
     desk.move(KeyRange.ALL, B, 100);
     desk.onWritten(desk.version());
+    List<LeaseOrder> releases = due(100);
+    assertThat(releases).hasSize(2);
+    desk.onReleaseEnded(
+        (LeaseOrder.Release) releases.get(1), OrderOutcome.OTHER_TARGET, Optional.empty(), 101);
+    assertThat(grantsTo(B, due(101))).hasSize(1);
+  }
+
+  /** The next run of the target's name may have taken grants before the news came. */
+  @Test
+  void newsThatTheTargetHasEndedEndsNoLease() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    desk.onGone(A);
+    desk.onReleaseEnded(release, OrderOutcome.NOT_SENT, Optional.empty(), 150);
+    desk.onGone(A);
+    long endsMs = TIMINGS.boundMs(TIMINGS.leaseMs());
+    assertThat(grantsTo(B, due(endsMs - 1))).isEmpty();
+    assertThat(grantsTo(B, due(endsMs))).hasSize(1);
+  }
+
+  /** Who answers then proves it within milliseconds. */
+  @Test
+  void newsThatTheTargetHasEndedIsLookedIntoAtOnce() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    desk.onReleaseEnded(release, OrderOutcome.NOT_SENT, Optional.empty(), 150);
+    assertThat(due(151)).isEmpty();
     desk.onGone(A);
-    assertThat(grantsTo(B, due(100))).isNotEmpty();
+    assertThat(due(151)).isNotEmpty();
+  }
+
+  /** An order that is looked at late proves nothing of a grant that ended after it was sent. */
+  @Test
+  void anotherTargetInItsPlaceEndsNoLeaseGrantedSince() {
+    LeaseOrder.Release release = moveFirstKeysToB();
+    LeaseOrder.Grant other =
+        (LeaseOrder.Grant)
+            due(1_000).stream().filter(order -> order.target().equals(A)).findFirst().orElseThrow();
+    grantEnds(other, OrderOutcome.DONE, 1_010);
+    desk.onReleaseEnded(release, OrderOutcome.OTHER_TARGET, Optional.empty(), 1_020);
+    desk.move(other.range(), B, 1_030);
+    desk.onWritten(desk.version());
+    long endsMs = 1_000 + TIMINGS.boundMs(TIMINGS.leaseMs());
+    assertThat(grantsOf(other.range(), due(endsMs - 1))).isEmpty();
+    assertThat(grantsOf(other.range(), due(endsMs))).hasSize(1);
   }
 
   @Test
@@ -233,6 +276,12 @@
         .toList();
   }
 
+  private static List<LeaseOrder> grantsOf(KeyRange keys, List<LeaseOrder> orders) {
+    return orders.stream()
+        .filter(order -> order instanceof LeaseOrder.Grant && order.range().equals(keys))
+        .toList();
+  }
+
   private static FleetTarget target(TargetId id) {
     return new FleetTarget(
         id, SERVICE, id + ":1", new DataCentreId("zone"), 4, TargetPhase.READY, 0);
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/send/SendGateTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/send/SendGateTest.java
@@ -31,7 +31,8 @@
   @Test
   void whatHoldsMayBeSent() {
     assertThat(check(SendKind.REQUEST)).isEmpty();
-    assertThat(check(SendKind.ORDER)).isEmpty();
+    assertThat(check(SendKind.GRANT)).isEmpty();
+    assertThat(check(SendKind.RELEASE)).isEmpty();
   }
 
   /** Each condition alone stops every kind of message that it concerns, and no other. */
@@ -56,7 +57,7 @@
     for (SendCondition condition : SendCondition.values()) {
       known.clear();
       known.put(condition, SendFact.heard(true, new UpperTime(nowMs), MAX_AGE_MS));
-      SendKind kind = condition.concerns(SendKind.REQUEST) ? SendKind.REQUEST : SendKind.ORDER;
+      SendKind kind = condition.concerns(SendKind.REQUEST) ? SendKind.REQUEST : SendKind.GRANT;
       assertThat(check(kind)).isEmpty();
       nowMs += 2_000;
       assertThat(check(kind)).hasValue(new SendObstacle(condition, true));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/HolderDuties.java
@@ -214,7 +214,10 @@
     }
   }
 
-  /** Another target answers at the address of this one: it has ended, whatever is registered. */
+  /**
+   * Another target is said to answer at the address of this one: its keys move away, once a release
+   * that is sent there has shown who holds them.
+   */
   private void onReplacedTarget(TargetId id) {
     if (!ended.contains(id)) {
       onReplaced(id);
@@ -259,7 +262,6 @@
   private void onReplaced(TargetId id) {
     if (ended.add(id)) {
       log.write("target_replaced", "target={}", id);
-      lastAddresses.remove(id);
       duties.values().forEach(service -> service.desk().onGone(id));
       follower.forget(id);
     }
@@ -298,9 +300,7 @@
 
   /** What the registry says is newer than what an earlier holder wrote. */
   private void noteStoredAddress(TargetAddress stored) {
-    if (!ended.contains(stored.target())) {
-      lastAddresses.putIfAbsent(stored.target(), stored.address());
-    }
+    lastAddresses.putIfAbsent(stored.target(), stored.address());
   }
 
   private Optional<String> lastAddressOf(TargetId id) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -107,7 +107,8 @@
   /** Called on a thread of the client, once there is a connection. */
   private boolean mayBegin(LeaseOrder order, UpperTime decided) {
     SendFacts facts = new OrderFacts(knowledge, () -> !closed, order.target(), decided);
-    Optional<SendObstacle> obstacle = gate.check(SendKind.ORDER, facts);
+    SendKind kind = order instanceof LeaseOrder.Grant ? SendKind.GRANT : SendKind.RELEASE;
+    Optional<SendObstacle> obstacle = gate.check(kind, facts);
     obstacle.ifPresent(
         found -> log.write("order_withheld", "target={} why={}", order.target(), found.label()));
     return obstacle.isEmpty();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
@@ -28,8 +28,11 @@
   private final SendGate gate = new SendGate(() -> nowMs);
 
   private Optional<SendObstacle> check() {
-    return gate.check(
-        SendKind.ORDER, new OrderFacts(new Knowledge(), () -> holdsTerm, TARGET, decided));
+    return check(SendKind.GRANT);
+  }
+
+  private Optional<SendObstacle> check(SendKind kind) {
+    return gate.check(kind, new OrderFacts(new Knowledge(), () -> holdsTerm, TARGET, decided));
   }
 
   @Test
@@ -65,6 +68,18 @@
     assertThat(check()).hasValue(new SendObstacle(SendCondition.TARGET_RUNS, false));
   }
 
+  /** Guards against keys that stay closed: only an answer proves that the run holds none. */
+  @Test
+  void releasesAreSentToRunsThatAreSaidToHaveEnded() {
+    ended.add(TARGET);
+    assertThat(check(SendKind.RELEASE)).isEmpty();
+    nowMs += STEP_MS;
+    assertThat(check(SendKind.RELEASE))
+        .hasValue(new SendObstacle(SendCondition.DECISION_RECENT, true));
+    holdsTerm = false;
+    assertThat(check(SendKind.RELEASE)).hasValue(new SendObstacle(SendCondition.TERM_HELD, false));
+  }
+
   private final class Knowledge implements OrderKnowledge {
 
     @Override
