Date answers of the store when they arrive, not when the control thread looks

Callers could see: requests handled by an older configuration after 2 s.

Cause: KeyFollower computed how long the store had waited when the control thread looked at the answer. An answer that came before its time, and was looked at late, passed for one that proved the whole wait.

Evidence: KeyFollowerTest.answersDoNotBecomeNewerWhileTheyWaitForTheControlThread failed before: confirmed at 10500 ms by an answer of 10000 ms.

Why it works: the proof is made on the thread that brings the answer. WaitProof is that rule for both followers of the store, which had one each.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/KeyFollower.java
@@ -196,11 +196,14 @@
     long number = ++callNumber;
     if (mustRead) {
       waitMs = 0;
-      store.read(key).thenAcceptAsync(result -> onRead(number, result), control);
+      UpperTime proved = sent;
+      store.read(key).thenAcceptAsync(result -> onRead(number, result, proved), control);
     } else {
+      WaitProof proof = new WaitProof(sent, sentMs, waitMs);
       store
           .watch(key, revision, waitMs)
-          .thenAcceptAsync(result -> onResult(number, result), control);
+          .thenApply(result -> new Answer(result, provedBy(result, proof)))
+          .thenAcceptAsync(answer -> onResult(number, answer.result, answer.proved), control);
     }
   }
 
@@ -219,16 +222,16 @@
     }
   }
 
-  private void onRead(long number, ReadResult result) {
+  private void onRead(long number, ReadResult result, UpperTime proved) {
     mustRead &= !(open && result.isDone());
-    onResult(number, result.toWatchResult(revision));
+    onResult(number, result.toWatchResult(revision), proved);
   }
 
   /**
    * Takes an answer. One that arrived while its call was being given up counts as well: the store
    * does not tell that change again.
    */
-  private void onResult(long number, WatchResult result) {
+  private void onResult(long number, WatchResult result, UpperTime proved) {
     boolean answered = result.event() != WatchResult.Event.UNAVAILABLE;
     boolean isNewest = number == callNumber;
     if (!open || !(isNewest || answered)) {
@@ -240,12 +243,13 @@
       return;
     }
     waiting = false;
-    UpperTime proved = answered ? provedBy(result) : UpperTime.NEVER;
     if (answered) {
       noteAnswer(result);
     }
     listener.accept(result);
-    this.answered = this.answered.latest(proved);
+    if (answered) {
+      this.answered = this.answered.latest(proved);
+    }
     callAgain(result.event());
   }
 
@@ -260,13 +264,8 @@
     }
   }
 
-  /**
-   * Without a change the store looked last when the wait was over, else no earlier than it began.
-   */
-  private UpperTime provedBy(WatchResult result) {
-    boolean waited =
-        result.event() == WatchResult.Event.UNCHANGED && clock.nowMs() - sentMs >= waitMs;
-    return waited ? sent.plusMs(waitMs) : sent;
+  private UpperTime provedBy(WatchResult result, WaitProof proof) {
+    return proof.onAnswer(result.event() == WatchResult.Event.UNCHANGED, clock.nowMs());
   }
 
   private void noteAnswer(WatchResult result) {
@@ -325,4 +324,7 @@
     }
     return waitMs > SHORT_WAIT_MS && !isFresh() ? Optional.of("unconfirmed") : Optional.empty();
   }
+
+  /** What the store answered, and as of when that is known to hold. */
+  private record Answer(WatchResult result, UpperTime proved) {}
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -212,10 +212,10 @@
       return;
     }
     long number = ++callNumber;
-    UpperTime sent = noteCall(WAIT_MS);
+    WaitProof proof = new WaitProof(noteCall(WAIT_MS), clock.nowMs(), WAIT_MS);
     registry
         .changes(revision, WAIT_MS)
-        .thenApply(changes -> new Answer(changes, provedBy(changes, sent)))
+        .thenApply(changes -> new Answer(changes, provedBy(changes, proof)))
         .thenAcceptAsync(answer -> onChanges(number, answer), control);
     control.schedule(() -> onOverdue(number), WAIT_MS + ANSWER_MS);
   }
@@ -263,18 +263,13 @@
     }
   }
 
-  /**
-   * Without a change the registry looked last when the wait was over. Called as soon as the answer
-   * is there, on any thread: what waits for the control thread does not become newer.
-   */
-  private UpperTime provedBy(RegistryChanges changes, UpperTime sent) {
+  private UpperTime provedBy(RegistryChanges changes, WaitProof proof) {
     boolean unchanged =
         changes.status() == RegistryChanges.Status.ANSWERED
             && changes.written().isEmpty()
             && changes.removed().isEmpty()
             && changes.unreadable().isEmpty();
-    boolean waited = unchanged && clock.upper().sinceMs(sent) >= WAIT_MS;
-    return waited ? sent.plusMs(WAIT_MS) : sent;
+    return proof.onAnswer(unchanged, clock.nowMs());
   }
 
   private void noteOutage() {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
@@ -203,6 +203,34 @@
   }
 
   /** The holder confirms again and again what this one knows. */
+  /**
+   * Guards against a configuration that passes for newer than it is: an answer came before the wait
+   * was over, and the control thread was late to look at it.
+   */
+  @Test
+  void answersDoNotBecomeNewerWhileTheyWaitForTheControlThread() {
+    VirtualClock controlClock = new VirtualClock(10_000);
+    WatchedStore early = new WatchedStore(clock);
+    early.put((byte) 1);
+    KeyFollower late =
+        new KeyFollower(
+            early,
+            "key",
+            new ControlThread("late", FailureHandler.logging(), new VirtualExecutor(controlClock)),
+            clock,
+            new DecisionLog(clock, 100, line -> {}),
+            RETRY_MS,
+            new Reliance(() -> MAX_AGE_MS, () -> false),
+            result -> {});
+    late.start();
+    controlClock.advance(0);
+    final UpperTime sent = clock.upper();
+    early.endWaitsUnchanged();
+    clock.advance(KeyFollower.SHORT_WAIT_MS);
+    controlClock.advance(0);
+    assertThat(late.confirmed()).isEqualTo(sent);
+  }
+
   private void confirmFor(long durationMs) {
     for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
       follower.onHeard(follower.revision(), clock.upper());
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchedStore.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchedStore.java
@@ -43,6 +43,14 @@
     waiting.clear();
   }
 
+  /** Answers calls that wait, before their time, that nothing has changed. */
+  void endWaitsUnchanged() {
+    List<CompletableFuture<WatchResult>> due = List.copyOf(waiting);
+    waiting.clear();
+    due.forEach(
+        answer -> answer.complete(new WatchResult(WatchResult.Event.UNCHANGED, Optional.empty())));
+  }
+
   /** Refuses every call, or no longer. */
   void setAvailable(boolean now) {
     available = now;
