Note answers of the registry when they arrive, so that lateness is no silence

Callers could see: requests reach targets that left more than 2 s ago.

Cause: whether an answer was due was cleared on the control thread. While that thread was late, an answered call passed for a silent store, and the gate lifted every bound on the age of targets and configuration.

Evidence: RegistryAgeTest.theRegistryIsNotSilentWhileItsAnswersWaitForTheControlThread failed before.

Why it works: StoreSilence takes each answer on the thread that brings it. A late control thread now makes its knowledge old, which forbids sends, as it should.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/RegistryFollower.java
@@ -61,6 +61,7 @@
   private final MillisClock clock;
   private final DecisionLog log;
   private final Runnable onChange;
+  private final StoreSilence silence;
   private final TargetRegister register = new TargetRegister();
   private final Map<TargetId, Long> removeAtMs = new HashMap<>();
   private final Set<TargetId> ended = new HashSet<>();
@@ -69,11 +70,8 @@
   private long revision;
   private long epoch;
   private UpperTime confirmed;
-  private UpperTime called = UpperTime.NEVER;
-  private volatile boolean answerDue;
-  private volatile long dueMs;
   private long keepUntilMs;
-  private volatile Optional<Long> outageSince = Optional.empty();
+  private Optional<Long> outageSince = Optional.empty();
   private long listingAnswerMs = ANSWER_MS;
   private long callNumber;
   private long answeredNumber;
@@ -92,6 +90,7 @@
     this.log = log;
     this.onChange = onChange;
     this.confirmed = knownAt;
+    this.silence = new StoreSilence(clock, SILENT_AFTER_MS);
     register.replaceAll(known, true);
   }
 
@@ -100,8 +99,12 @@
       return;
     }
     long number = ++callNumber;
-    UpperTime sent = noteCall(0);
-    registry.list().thenAcceptAsync(listing -> onListed(number, listing, sent), control);
+    silence.onCall(number, 0);
+    UpperTime sent = clock.upper();
+    registry
+        .list()
+        .thenApply(listing -> noteArrival(number, listing.available(), listing))
+        .thenAcceptAsync(listing -> onListed(number, listing, sent), control);
     control.schedule(() -> onListingOverdue(number), listingAnswerMs);
   }
 
@@ -113,14 +116,14 @@
     }
   }
 
-  /** What an answer says is at least as new as its call; how long it was under way is not known. */
-  private UpperTime noteCall(long waitMs) {
-    called = clock.upper();
-    if (!answerDue) {
-      dueMs = clock.nowMs() + waitMs + SILENT_AFTER_MS;
-      answerDue = true;
+  /** Called on the thread that brings the answer. */
+  private <T> T noteArrival(long number, boolean available, T answer) {
+    if (available) {
+      silence.onAnswer(number, WAIT_MS);
+    } else {
+      silence.onRefusal(number);
     }
-    return called;
+    return answer;
   }
 
   void close() {
@@ -156,7 +159,7 @@
    * thread.
    */
   boolean isSilent() {
-    return outageSince.isPresent() || (answerDue && clock.nowMs() > dueMs);
+    return silence.isSilent();
   }
 
   private void onListed(long number, RegistryListing listing, UpperTime sent) {
@@ -212,14 +215,20 @@
       return;
     }
     long number = ++callNumber;
-    WaitProof proof = new WaitProof(noteCall(WAIT_MS), clock.nowMs(), WAIT_MS);
+    silence.onCall(number, WAIT_MS);
+    WaitProof proof = new WaitProof(clock.upper(), clock.nowMs(), WAIT_MS);
     registry
         .changes(revision, WAIT_MS)
+        .thenApply(changes -> noteArrival(number, isAnswered(changes), changes))
         .thenApply(changes -> new Answer(changes, provedBy(changes, proof)))
         .thenAcceptAsync(answer -> onChanges(number, answer), control);
     control.schedule(() -> onOverdue(number), WAIT_MS + ANSWER_MS);
   }
 
+  private static boolean isAnswered(RegistryChanges changes) {
+    return changes.status() != RegistryChanges.Status.UNAVAILABLE;
+  }
+
   private void onOverdue(long number) {
     if (!closed && number == callNumber && number > answeredNumber) {
       log.write("registry_call_renewed", "revision={} age_ms={}", revision, ageMs());
@@ -284,8 +293,6 @@
       log.write("registry_regained", "after_ms={}", ageMs());
     }
     outageSince = Optional.empty();
-    answerDue = proved.compareTo(called) < 0;
-    dueMs = clock.nowMs() + WAIT_MS + SILENT_AFTER_MS;
     confirmed = confirmed.latest(proved);
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/RegistryAgeTest.java
@@ -79,6 +79,30 @@
         .isGreaterThan(FleetLink.STALE_REGISTRY_MS);
   }
 
+  /** Guards against a control thread that takes its own lateness for the registry's silence. */
+  @Test
+  void theRegistryIsNotSilentWhileItsAnswersWaitForTheControlThread() {
+    final RegistryFollower follower = follower(controlClock);
+    controlClock.advance(0);
+    for (int ms = 0; ms < 5_000; ms++) {
+      clock.advance(1);
+      assertWithMessage("silent, %s ms after a listing that was answered at once", ms)
+          .that(follower.isSilent())
+          .isFalse();
+    }
+  }
+
+  @Test
+  void theRegistryIsSilentForAsLongAsItRefuses() {
+    final RegistryFollower follower = follower(clock);
+    reader.setRefused(true);
+    clock.advance(3_000);
+    assertWithMessage("silent while it refuses").that(follower.isSilent()).isTrue();
+    reader.setRefused(false);
+    clock.advance(RegistryFollower.WAIT_MS + RegistryFollower.PACE_MS);
+    assertWithMessage("silent afterwards").that(follower.isSilent()).isFalse();
+  }
+
   /** Guards against an answer that waited for a control thread that was busy. */
   @Test
   void answersThatWaitedForTheControlThreadAreOld() {
