Take the store for silent only if it answers no other gateway either

Callers could see: requests reach targets that left long ago (20 s in the test).

Cause: a refusal of this gateway alone, or its own circuit breaker, passed for a store that answers nobody, which lifts the bounds on the age of targets and configuration without end.

Evidence: FleetLinkTest.departuresAreHeededIfTheStoreRefusesThisGatewayAlone failed before: sent for all of the 20000 ms watched, 2000 allowed.

Why it works: beats of the holder and of deputies tell how long ago the store answered them. While any is younger than 1.7 s, the bounds hold. If the store is away, all of them age alike, and requests go on.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -88,6 +88,12 @@
   /** A holder that the store answers confirms what it knows more often than this. */
   private static final long FRESH_MS = 1_200;
 
+  /**
+   * Whom the store has answered so lately it does not leave without answers in general. Less than
+   * the age at which knowledge of targets forbids sends, so that they go on if it is away.
+   */
+  private static final long ANSWERED_LATELY_MS = 1_700;
+
   /** The store usually answers a process that starts within a few milliseconds. */
   private static final long ASK_SEEDS_AFTER_MS = 500;
 
@@ -116,6 +122,10 @@
   private Optional<String> holderAddress = Optional.empty();
   private UpperTime heard;
   private UpperTime freshBeat;
+
+  /** When the store last answered another gateway, as far as is known. */
+  private volatile UpperTime othersAnswered = UpperTime.NEVER;
+
   private boolean followsHolder;
   private volatile Optional<Long> firstListingDueMs = Optional.empty();
 
@@ -302,8 +312,16 @@
     }
   }
 
-  /** Tells whether the store leaves this gateway without an answer. For any thread. */
+  /**
+   * Tells whether the store leaves the fleet without an answer, as far as this gateway knows. One
+   * that it refuses alone, or that gave its calls up by itself, has to hear from others. For any
+   * thread.
+   */
   private boolean isStoreSilent() {
+    return isOwnWaySilent() && clock.upper().sinceMs(othersAnswered) > ANSWERED_LATELY_MS;
+  }
+
+  private boolean isOwnWaySilent() {
     Optional<HolderDuties> held = duties;
     if (held.isPresent()) {
       return held.get().isStoreSilent();
@@ -340,10 +358,15 @@
       return;
     }
     UpperTime asked = new UpperTime(beat.helloSentMs());
+    noteOthersAnswered(asked, Math.min(beat.termAgeMs(), beat.configurationAgeMs()));
     configuration.onHeard(beat.configurationRevision(), asked.minusMs(beat.configurationAgeMs()));
     terms.onHeard(beat.term(), beat.holderAddress(), asked.minusMs(beat.termAgeMs()));
   }
 
+  private void noteOthersAnswered(UpperTime asked, long ageMs) {
+    othersAnswered = othersAnswered.latest(asked.minusMs(ageMs));
+  }
+
   private void reportKeyWork() {
     reports.takeKeyWork().forEach(this::report);
     reports.takeReplacedTargets().forEach(this::report);
@@ -415,6 +438,7 @@
     if (beat.registryAgeMs() <= STALE_REGISTRY_MS) {
       heard = clock.upper();
     }
+    noteOthersAnswered(asked, beat.registryAgeMs());
     confirmTargets(beat, asked);
     configuration.onHeard(beat.configurationRevision(), asked.minusMs(beat.configurationAgeMs()));
     if (state.current().processes() != beat.processes()) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetNews;
+import io.cuminvalve.core.protocol.FollowerBeat;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
@@ -256,6 +257,28 @@
     }
   }
 
+  /**
+   * Guards against a refusal of this gateway alone that passes for a store that answers nobody: its
+   * holder is gone, and another gateway tells that the store answers it.
+   */
+  @Test
+  void departuresAreHeededIfTheStoreRefusesThisGatewayAlone() {
+    startHolder().end();
+    ownWay.setRefused(true);
+    registry.put(DRAINING);
+    long last = 0;
+    for (long ms = 1; ms <= WATCHED_MS; ms++) {
+      if (ms % 300 == 0) {
+        gateway.hear(NEXT_HOLDER, new FollowerBeat(1, HOLDER, 100, 0, 100, clock.upper().ms()));
+      }
+      clock.advance(1);
+      last = gateway.traffic.sendsTo(A) ? ms : last;
+    }
+    assertWithMessage("last request begins so many ms after the target left")
+        .that(last)
+        .isAtMost(DRAIN_MS);
+  }
+
   /** Guards against whatever is slow, silent or lost at random, and sums of it. */
   @Test
   void departuresAreHeardInTimeWhateverIsSlowBeforeThisGateway() {
