Ask the gate, too, whether a repeat of a suspect request may be sent

Callers could see: one target more ends under a request that ends targets.

Cause: only the placement asked whether a repeat may go to another target; a repeat that waited for its connection while its request became suspect was sent.

Evidence: TargetAttemptTest.repeatsThatBecameSuspectMeanwhileDoNotBegin failed before.

Why it works: placement and gate ask the same question, with the number of targets at which the request may have run. What is stopped is told when to come back.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -74,11 +74,7 @@
   public void onPlaced(Slot placed) {
     patience.cancel();
     slot = placed;
-    long refusedForMs =
-        machine.runs() == 0
-            ? services.quarantine().refusedForMs(call.identity())
-            : services.quarantine().refusedForMsAfterBreak(call.identity());
-    if (isRefused(refusedForMs)) {
+    if (isRefused(quarantinedForMs())) {
       services.dispatcher().giveBack(placed, wish, AttemptEnd.GIVEN_UP, 0);
     } else {
       decide(machine::onSlot);
@@ -119,6 +115,10 @@
             refusal.retryAfterMs());
   }
 
+  private long quarantinedForMs() {
+    return services.quarantine().refusedForMs(call.identity(), machine.runs());
+  }
+
   /** Ends a request that may be sent to no target; that may come up while it waits. */
   private boolean isRefused(long forMs) {
     if (forMs > 0) {
@@ -159,7 +159,8 @@
     switch (obstacle.condition()) {
       case CALLER_PRESENT -> onCallerGone();
       case TIME_LEFT -> decide(() -> machine.onDeadline(false));
-      case ROUTE_IN_FORCE, QUARANTINE_CLEAR -> decide(() -> machine.onNoSlot(obstacle.label()));
+      case ROUTE_IN_FORCE -> decide(() -> machine.onNoSlot(obstacle.label()));
+      case QUARANTINE_CLEAR -> isRefused(Math.max(1, quarantinedForMs()));
       default -> onTargetUnfit(obstacle);
     }
   }
@@ -215,7 +216,7 @@
 
   /** The attempt has to be known to whoever ends the request, or must never begin. */
   private void send() {
-    TargetAttempt attempt = new TargetAttempt(services, call, wish, slot, this);
+    TargetAttempt attempt = new TargetAttempt(services, call, wish, slot, machine.runs(), this);
     boolean begins;
     synchronized (this) {
       begins = !machine.isDone();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -30,6 +30,7 @@
   private final ExchangeServices services;
   private final CallerRequest call;
   private final Slot slot;
+  private final int runsBefore;
   private final BooleanSupplier open;
 
   /**
@@ -38,12 +39,19 @@
    * @param services where knowledge is kept; not null
    * @param call the request; not null
    * @param slot where it goes; not null
+   * @param runsBefore at how many targets it may have run before
    * @param open whether nobody has given the attempt up; not null
    */
-  RequestFacts(ExchangeServices services, CallerRequest call, Slot slot, BooleanSupplier open) {
+  RequestFacts(
+      ExchangeServices services,
+      CallerRequest call,
+      Slot slot,
+      int runsBefore,
+      BooleanSupplier open) {
     this.services = services;
     this.call = call;
     this.slot = slot;
+    this.runsBefore = runsBefore;
     this.open = open;
   }
 
@@ -58,7 +66,7 @@
       case TARGET_RESTED -> SendFact.local(services.rests().leftMs(target) == 0, now);
       case LIMIT_KEPT -> limitKept(target, now);
       case QUARANTINE_CLEAR ->
-          SendFact.local(services.quarantine().refusedForMs(call.identity()) == 0, now);
+          SendFact.local(services.quarantine().refusedForMs(call.identity(), runsBefore) == 0, now);
       case KEY_OWNED -> SendFact.local(isOwner(target), now);
       case ROUTE_IN_FORCE -> routeInForce();
       case CALLER_PRESENT -> SendFact.local(call.isCallerPresent(), now);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestQuarantine.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestQuarantine.java
@@ -153,6 +153,17 @@
         leftMs(known.get(identity.content())), leftMs(known.get(identity.contentAndCaller())));
   }
 
+  /**
+   * Returns for how long a request is sent to no further target.
+   *
+   * @param identity by what it is recognised; not null
+   * @param runs at how many targets it may have run; a trial is not sent to another one
+   * @return milliseconds; 0 if it may be sent
+   */
+  long refusedForMs(RequestIdentity identity, int runs) {
+    return runs == 0 ? refusedForMs(identity) : refusedForMsAfterBreak(identity);
+  }
+
   /** The same for one that has just broken off at a target: a trial is not sent to another one. */
   long refusedForMsAfterBreak(RequestIdentity identity) {
     Map<RequestFingerprint, Long> known = untilMs;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -53,6 +53,7 @@
   private final CallerRequest call;
   private final PlacementWish wish;
   private final Slot slot;
+  private final int runsBefore;
   private final Listener listener;
   private final TargetExchange exchange;
   private final Handover handover = new Handover();
@@ -69,11 +70,13 @@
       CallerRequest call,
       PlacementWish wish,
       Slot slot,
+      int runsBefore,
       Listener listener) {
     this.services = services;
     this.call = call;
     this.wish = wish;
     this.slot = slot;
+    this.runsBefore = runsBefore;
     this.listener = listener;
     this.sentMs = services.clock().nowMs();
     this.exchange = services.client().prepare(targetRequest(), this);
@@ -128,7 +131,7 @@
   @Override
   public boolean onConnection(HttpFields.Mutable headers) {
     sentMs = services.clock().nowMs();
-    SendFacts facts = new RequestFacts(services, call, slot, () -> !ended.get());
+    SendFacts facts = new RequestFacts(services, call, slot, runsBefore, () -> !ended.get());
     obstacle = services.gate().check(SendKind.REQUEST, facts);
     if (obstacle.isPresent()) {
       return false;
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/SendingGateway.java
@@ -5,6 +5,8 @@
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.quarantine.RequestFingerprint;
+import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.WeightedService;
@@ -53,8 +55,14 @@
   private static final RoutingConfiguration CONFIGURATION =
       new RoutingConfiguration(1, List.of(ROUTE), List.of(), null);
 
+  private static final RequestFingerprint CONTENT = new RequestFingerprint(1);
+
+  /** By what every request here is recognised. */
+  static final RequestIdentity IDENTITY = new RequestIdentity(CONTENT, CONTENT.by("one"));
+
   private final MillisClock clock;
   private final Dispatcher dispatcher;
+  private final RequestQuarantine quarantine;
   private final ExchangeServices services;
   private final TrafficReports reports;
 
@@ -69,7 +77,7 @@
     TargetRests rests = new TargetRests(clock, timers, new SplittableRandom(2), log);
     TargetDepartures departures = new TargetDepartures(state);
     KeyWorkMeter keyWork = new KeyWorkMeter();
-    RequestQuarantine quarantine = new RequestQuarantine(clock);
+    this.quarantine = new RequestQuarantine(clock);
     CrashWitness witness = new CrashWitness(state, null, timers, clock);
     this.dispatcher = new Dispatcher(state, HERE, clock, new SplittableRandom(3), quotas, rests);
     this.services =
@@ -101,6 +109,11 @@
     return reports;
   }
 
+  /** Targets have ended under requests like those here: each answer of one matters. */
+  void suspectRequests() {
+    quarantine.install(Map.of(), Set.of(CONTENT));
+  }
+
   /** Another target was found at the address of this one. */
   public void onReplaced(TargetId target) {
     dispatcher.onReplaced(target);
@@ -170,6 +183,11 @@
 
     /** Its connection is there: tells whether its first byte goes out. */
     public boolean begins() {
+      return beginsAfter(0);
+    }
+
+    /** The same, for a request that may have run at so many targets before. */
+    boolean beginsAfter(int runs) {
       CallerRequest call =
           new CallerRequest(
               request(),
@@ -179,14 +197,15 @@
               wish.route(),
               SERVICE,
               OptionalInt.empty(),
-              null,
+              IDENTITY,
               HttpFields.EMPTY,
               new byte[0],
               clock.nowMs(),
               DEADLINE_MS,
               clock.upper().plusMs(DEADLINE_MS),
               CONFIGURATION.version());
-      return new TargetAttempt(services, call, wish, slot, null).onConnection(HttpFields.build());
+      return new TargetAttempt(services, call, wish, slot, runs, null)
+          .onConnection(HttpFields.build());
     }
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetAttemptTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TargetAttemptTest.java
@@ -69,6 +69,19 @@
     assertThat(waiting.begins()).isFalse();
   }
 
+  /**
+   * Guards against a repeat of a request under which a target has ended: it has its slot already,
+   * and becomes suspect while it waits for its connection.
+   */
+  @Test
+  void repeatsThatBecameSuspectMeanwhileDoNotBegin() {
+    SendingGateway.Placed waiting = placed();
+    gateway.suspectRequests();
+    clock.advance(CONNECT_MS);
+    assertThat(waiting.beginsAfter(1)).isFalse();
+    assertThat(waiting.beginsAfter(0)).isTrue();
+  }
+
   private static FleetTarget target(TargetPhase phase) {
     return new FleetTarget(
         A, SendingGateway.SERVICE, "127.0.0.1:9", SendingGateway.HERE, 4, phase, 0);
