Find the close of a caller behind more pipelined bytes than 1 KB

Callers saw nothing; targets worked for callers that had left.

Cause: 1 KB is read ahead while a request is in progress; behind a full buffer the end of the stream was not looked for.

Evidence: CallerThatLeftTest.requestsReachNoTargetIfTheCloseLiesBehindLongPipelinedRequests failed before: the request reached its target.

Why it works: the buffer grows up to 64 KB, and the look right before the first byte reads until nothing is left.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CallerThatLeftTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CallerThatLeftTest.java
@@ -136,6 +136,24 @@
     assertThat(arrivalsOfGone()).isEmpty();
   }
 
+  /** Guards against: the close lies behind more bytes of a next request than were read ahead. */
+  @Test
+  void requestsReachNoTargetIfTheCloseLiesBehindLongPipelinedRequests() throws Exception {
+    gateway.configure().holdSends();
+    Call call = gateway.connect().send("gone-0", "/files/", DEADLINE_MS);
+    LateGateway.await(() -> gateway.sendsHeld() == 1);
+    call.write("GET /files/ HTTP/1.1\r\nHost: h.example\r\nX-Long: " + "x".repeat(8_000)).close();
+    gateway.pass(LONG_GONE_MS);
+    gateway.freeSends();
+    LateGateway.await(
+        () ->
+            gateway.hasLogged("event=send_stopped id=gone-0")
+                || target.arrivalsOf("gone-0") > 0
+                || gateway.inFlight() == 0);
+    gateway.settle();
+    assertThat(arrivalsOfGone()).isEmpty();
+  }
+
   /** Guards against: the caller leaves during the connect, which is noticed but has no effect. */
   @Test
   void requestsThatWaitForConnectionsReachNoTargetIfTheCloseIsRead() throws Exception {
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -26,14 +26,17 @@
  */
 public final class CallerEndPoint extends SocketChannelEndPoint {
 
-  private static final int HELD_BYTES = 1024;
+  private static final int FIRST_HELD_BYTES = 1024;
+
+  /** Bytes of next requests that are read ahead, to find the end of the stream behind them. */
+  private static final int MAX_HELD_BYTES = 64 * 1024;
 
   private final Executor executor;
   private final MillisClock clock;
   private final PolledSelector selector;
   private final ArrivalBounds arrivals;
   private final Object lock = new Object();
-  private final ByteBuffer held = BufferUtil.allocate(HELD_BYTES);
+  private ByteBuffer held = BufferUtil.allocate(FIRST_HELD_BYTES);
   private boolean watching;
   private boolean endSeen;
   private Callback reader;
@@ -78,17 +81,36 @@
    */
   public boolean isCallerPresent() {
     synchronized (lock) {
-      if (watching && reader == null && !endSeen && hasRoom(held)) {
-        try {
-          endSeen = read(held) < 0;
-        } catch (IOException broken) {
-          endSeen = true;
-        }
+      if (watching && reader == null && !endSeen) {
+        readToEnd();
       }
       return !endSeen && isOpen();
     }
   }
 
+  /** Reads what is there; the end of the stream may lie behind bytes of next requests. */
+  private void readToEnd() {
+    try {
+      int read = 1;
+      while (read > 0 && makeRoom()) {
+        read = read(held);
+      }
+      endSeen |= read < 0;
+    } catch (IOException broken) {
+      endSeen = true;
+    }
+  }
+
+  /** Tells whether more may be held; the buffer grows up to its bound. */
+  private boolean makeRoom() {
+    if (!hasRoom(held) && held.capacity() < MAX_HELD_BYTES) {
+      ByteBuffer larger = BufferUtil.allocate(2 * held.capacity());
+      BufferUtil.append(larger, held);
+      held = larger;
+    }
+    return hasRoom(held);
+  }
+
   /**
    * Watches the connection until the server reads from it again.
    *
@@ -119,12 +141,20 @@
   public int fill(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
       if (BufferUtil.hasContent(held)) {
-        return BufferUtil.append(buffer, held);
+        return takeHeld(buffer);
       }
       return endSeen ? -1 : read(buffer);
     }
   }
 
+  private int takeHeld(ByteBuffer buffer) {
+    int taken = BufferUtil.append(buffer, held);
+    if (!BufferUtil.hasContent(held) && held.capacity() > FIRST_HELD_BYTES) {
+      held = BufferUtil.allocate(FIRST_HELD_BYTES);
+    }
+    return taken;
+  }
+
   private int read(ByteBuffer buffer) throws IOException {
     UpperTime now = clock.upper();
     long nowNs = NanoTime.now();
@@ -163,7 +193,7 @@
 
   /** Bytes of next requests may come before the end: it goes on while there is room for them. */
   private void beginWatching() {
-    if (!watching && hasRoom(held)) {
+    if (!watching && makeRoom()) {
       watching = true;
       boolean begun = super.tryFillInterested(new Watch());
       watching &= begun;
@@ -222,13 +252,9 @@
   }
 
   private Runnable readAhead() {
-    try {
-      endSeen |= hasRoom(held) && read(held) < 0;
-      if (!endSeen) {
-        beginWatching();
-      }
-    } catch (IOException broken) {
-      endSeen = true;
+    readToEnd();
+    if (!endSeen) {
+      beginWatching();
     }
     return endSeen ? onGone : () -> {};
   }
