List a suspension that a step back of the time of day hides

HiddenSuspensionTest shows it: in some of 50 schedules the holder that wakes renews a lease that has run out, at a target that the next holder could not reach, while that one has given the keys away. The same suspension without the step stops the holder (the other test).

--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/HiddenSuspensionTest.java
@@ -0,0 +1,95 @@
+package io.cuminvalve.core.lease;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The host of a holder is suspended for longer than any lease runs. Meanwhile the next holder takes
+ * over; it cannot reach one of the targets, and gives that one's keys away once its leases have run
+ * out.
+ */
+class HiddenSuspensionTest {
+
+  private static final long STEP_MS = 25;
+  private static final long SETTLE_MS = 3_000;
+  private static final long SUSPENDED_MS = 25_000;
+  private static final long AFTERWARDS_MS = 5_000;
+
+  /** Renewals are sent so often: the suspension begins at any moment between two of them. */
+  private static final long RENEWED_EVERY_MS = 1_000;
+
+  private static final long SEEDS = 50;
+
+  @Test
+  void suspensionsThatShowStopTheHolder() {
+    assertNoTwoOwners(0);
+  }
+
+  /**
+   * Guards against two owners after a suspension during which the time of day is set back by as
+   * much: no clock of the host shows it, so the holder renews leases that have run out.
+   */
+  @Test
+  void suspensionsThatStepsBackHideStopTheHolder() {
+    assertNoTwoOwners(-SUSPENDED_MS);
+  }
+
+  private static void assertNoTwoOwners(long stepMs) {
+    List<String> broken = new ArrayList<>();
+    for (long seed = 0; seed < SEEDS; seed++) {
+      broken.addAll(new Suspension(seed, stepMs).violations());
+    }
+    assertWithMessage("violations in %s schedules", SEEDS).that(broken).isEmpty();
+  }
+
+  /** A holder whose host is suspended, and the next one. */
+  private static final class Suspension {
+
+    private final VirtualTime time;
+    private final LeaseFleet fleet;
+    private final LeasePromises promises = new LeasePromises(LeaseFleet.SERVICES);
+    private final LeaseNetwork network;
+    private final LeaseStore store = new LeaseStore();
+    private final List<LeaseHolder> holders = new ArrayList<>();
+
+    Suspension(long seed, long stepMs) {
+      time = new VirtualTime(seed);
+      fleet = new LeaseFleet(time, ended -> {});
+      network = new LeaseNetwork(time, fleet, promises, true);
+      final LeaseHolder first = addHolder();
+      pass(SETTLE_MS + time.between(0, RENEWED_EVERY_MS));
+      final LeaseTarget owner = fleet.living().get(0);
+      // While it is suspended nobody reads its clocks.
+      first.cutOff(false);
+      first.clock().suspend(SUSPENDED_MS);
+      first.clock().setTimeOfDay(stepMs);
+      LeaseHolder next = addHolder();
+      next.cutFrom(owner, time.nowMs() + SUSPENDED_MS + AFTERWARDS_MS);
+      next.moveFrom(owner);
+      pass(SUSPENDED_MS + AFTERWARDS_MS);
+    }
+
+    Collection<String> violations() {
+      return promises.violations().values();
+    }
+
+    private LeaseHolder addHolder() {
+      LeaseHolder holder = new LeaseHolder(holders.size() + 1, time, fleet, network, store, true);
+      holders.add(holder);
+      return holder;
+    }
+
+    private void pass(long durationMs) {
+      long endMs = time.nowMs() + durationMs;
+      while (time.nowMs() < endMs) {
+        time.pass(STEP_MS);
+        holders.forEach(LeaseHolder::step);
+        promises.check(fleet.living(), time.nowMs());
+      }
+    }
+  }
+}
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseHolder.java
@@ -112,6 +112,12 @@
     reachableAtMs = time.nowMs() + time.between(0, longestMs);
   }
 
+  /** The path to this target is cut until then. */
+  void cutFrom(LeaseTarget target, long untilMs) {
+    unreachable = target.address();
+    reachableAtMs = untilMs;
+  }
+
   /** The holder before stops and tells which leases may still be in force. */
   void askPredecessor(LeaseHolder predecessor) {
     predecessor.stopped = true;
