Name the schedule without names that now happens to break no promise

Orders come at other moments now, so of the 16 mutated schedules another one breaks nothing: seed 4 in place of 6, which is broken now. Trace of seed 4: 118 grants were carried out by runs that they were not meant for, each of the same service, none under a token that another run had had; that is the reason which the test gives. Still 15 of 16 schedules and every promise.

--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
@@ -159,7 +159,7 @@
 
   /**
    * The checks bite: without names each promise is broken, and some promise in all but one of the
-   * schedules. In that one (seed 6) each run that takes an order of another one is of the same
+   * schedules. In that one (seed 4) each run that takes an order of another one is of the same
    * service and gets a token above all that were used before, which breaks nothing.
    */
   @Example
@@ -174,7 +174,7 @@
       }
       seen.addAll(world.promises().violations().keySet());
     }
-    assertThat(harmless).containsExactly(6L);
+    assertThat(harmless).containsExactly(4L);
     assertThat(seen).containsExactlyElementsIn(Violation.values());
   }
 
