--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/KeyFollowerTest.java
@@ -202,7 +202,6 @@
     confirmFor(1_000);
   }
 
-  /** The holder confirms again and again what this one knows. */
   /**
    * Guards against a configuration that passes for newer than it is: an answer came before the wait
    * was over, and the control thread was late to look at it.
@@ -231,6 +230,7 @@
     assertThat(late.confirmed()).isEqualTo(sent);
   }
 
+  /** The holder confirms again and again what this one knows. */
   private void confirmFor(long durationMs) {
     for (long ms = 0; ms < durationMs; ms += BEAT_MS) {
       follower.onHeard(follower.revision(), clock.upper());
