--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReplacedTargetTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReplacedTargetTest.java
@@ -104,24 +104,24 @@
   @Test
   void keysOfTheReplacedTargetStayClosedUntilItIsProvedThatNobodyHasThem() {
     targets.answers.put(ADDRESS_OF_A, OrderOutcome.UNANSWERED);
-    int grants = targets.grantsTo(B).size();
-    LeaseOrder.Grant last = targets.grantsTo(A).get(targets.grantsTo(A).size() - 1);
+    final KeyRange keys = targets.lastKeysOf(A);
+    final int grants = targets.grantsTo(B).size();
     report(A);
     clock.advance(1_000);
-    assertThat(targets.newKeysOf(B, last.range(), grants)).isEmpty();
+    assertThat(targets.newKeysOf(B, keys, grants)).isEmpty();
     clock.advance(TIMINGS.boundMs(TIMINGS.leaseMs()));
-    assertThat(targets.newKeysOf(B, last.range(), grants)).isNotEmpty();
+    assertThat(targets.newKeysOf(B, keys, grants)).isNotEmpty();
   }
 
   /** Guards against keys that stay closed for a lease although an answer proves them free. */
   @Test
   void keysOfTheReplacedTargetMoveOnceAnotherOneAnswersInItsPlace() {
     targets.answers.put(ADDRESS_OF_A, OrderOutcome.OTHER_TARGET);
-    int grants = targets.grantsTo(B).size();
-    LeaseOrder.Grant last = targets.grantsTo(A).get(targets.grantsTo(A).size() - 1);
+    final KeyRange keys = targets.lastKeysOf(A);
+    final int grants = targets.grantsTo(B).size();
     report(A);
     clock.advance(200);
-    assertThat(targets.newKeysOf(B, last.range(), grants)).isNotEmpty();
+    assertThat(targets.newKeysOf(B, keys, grants)).isNotEmpty();
   }
 
   private void report(TargetId replaced) {
@@ -165,6 +165,11 @@
       return grants.stream().filter(grant -> grant.target().equals(target)).toList();
     }
 
+    KeyRange lastKeysOf(TargetId target) {
+      List<LeaseOrder.Grant> all = grantsTo(target);
+      return all.get(all.size() - 1).range();
+    }
+
     /** Returns the grants of these keys to a target since it had got so many. */
     List<LeaseOrder.Grant> newKeysOf(TargetId target, KeyRange keys, int since) {
       List<LeaseOrder.Grant> all = grantsTo(target);
