Read the boot clock, so that no step of the wall clock hides a suspension

What callers saw: after the host of a term holder was suspended for longer than every lease, and its wall clock was set back by as much meanwhile, two targets served the same keys for up to one lease.

Cause: a clock that was not read. SuspensionClock compared the monotonic clock, which stops during a suspension, with the wall clock, which can be set. The set back cancelled the gain, so the upper bound of elapsed time fell short by the suspension, the term passed for confirmed, and the holder renewed leases that had run out, under tokens that the target accepts, as the next holder could not reach it.

Change: BootClock reads CLOCK_BOOTTIME (LinuxBootTime: clock_gettime by JNA, the only native call; Java has none). SuspensionClock adds the greater of the gains of boot clock and wall clock to the upper bound. The wall clock stays: without a boot clock it is all that is left, and it shows the pause of a virtual machine that stops the boot clock once the time is corrected; it errs to one renewal. Gains of the boot clock below the threshold add up, since it has no drift. A boot clock that cannot be loaded or read, or falls behind the monotonic clock, is not used; the process starts and serves as before and says so (event boot_clock, metric cuminvalve_boot_clock_available).

deploy/build.sh takes the native library out of the jar, since the hosts have no directory for JNA to unpack it into; the class archive holds its classes.

--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/HostClock.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/HostClock.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.core.lease;
 
+import io.cuminvalve.kernel.BootClock;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.SuspensionClock;
 import io.cuminvalve.kernel.UpperTime;
@@ -18,7 +19,11 @@
   HostClock(VirtualTime time) {
     this.time = time;
     this.clock =
-        new SuspensionClock(this::steadyMs, this::timeOfDayMs, forMs -> clockGained = true);
+        new SuspensionClock(
+            this::steadyMs,
+            this::timeOfDayMs,
+            new BootClock(time::nowMs, failure -> {}),
+            forMs -> clockGained = true);
   }
 
   private long steadyMs() {
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseClockTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseClockTest.java
@@ -7,6 +7,7 @@
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.kernel.BootClock;
 import io.cuminvalve.kernel.SuspensionClock;
 import java.util.List;
 import java.util.Optional;
@@ -27,7 +28,11 @@
   private long timeOfDayMs = 1_700_000_000_000L;
   private long tokens;
   private final SuspensionClock clock =
-      new SuspensionClock(() -> passedMs, () -> timeOfDayMs, forMs -> {});
+      new SuspensionClock(
+          () -> passedMs,
+          () -> timeOfDayMs,
+          new BootClock(() -> passedMs, failure -> {}),
+          forMs -> {});
   private final LeaseManager manager = new LeaseManager(SERVICE, TIMINGS, () -> ++tokens);
 
   @BeforeEach
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -10,11 +10,13 @@
 import io.cuminvalve.gateway.observe.UnknownFields;
 import io.cuminvalve.gateway.traffic.GatewayServer;
 import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.kernel.BootClock;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
 import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.kernel.SuspensionClock;
 import io.cuminvalve.ports.store.StoreCallGuard;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Function;
 import org.tinylog.Logger;
@@ -48,14 +50,15 @@
   private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
-  private final SuspensionClock clock = SuspensionClock.system(this::onSuspended);
+  private final ControlThread control = new ControlThread("control", FailureHandler.logging());
+  private final BootClock bootClock = BootClock.system(this::onBootClockFailed);
+  private final SuspensionClock clock = SuspensionClock.system(bootClock, this::onSuspended);
   private final DecisionLog log = new DecisionLog(clock, LOG_LINES_PER_SECOND, Logger::info);
   private final RequestMetrics metrics = new RequestMetrics();
   private final StoreCallMetrics storeCalls = new StoreCallMetrics();
   private final UnknownFields unknownFields = new UnknownFields(log);
   private final MetricsPage metricsPage = new MetricsPage(metrics, storeCalls, unknownFields, log);
   private final RoutingState state = new RoutingState(INITIAL_GATEWAY_COUNT);
-  private final ControlThread control = new ControlThread("control", FailureHandler.logging());
   private final GatewayServer server;
   private final FleetControl fleet;
   private volatile boolean stopping;
@@ -130,6 +133,10 @@
         "cuminvalve_suspended_seconds",
         "For how long the host was suspended since the process started, as far as is known.",
         () -> clock.suspendedMs() / MS_PER_SECOND);
+    metricsPage.addGauge(
+        "cuminvalve_boot_clock_available",
+        "1 if suspensions are found whatever the wall clock shows; 0 if it can hide them.",
+        () -> bootClock.failure().isEmpty() ? 1 : 0);
     metricsPage.addGauge(
         "cuminvalve_log_suppressed_lines",
         "Lines of the log that were not written.",
@@ -145,9 +152,21 @@
         });
   }
 
+  /** Handles a boot clock that fails while the process runs. */
+  private void onBootClockFailed(String reason) {
+    control.execute(() -> logBootClock(Optional.of(reason)));
+  }
+
+  private void logBootClock(Optional<String> failure) {
+    failure.ifPresentOrElse(
+        reason -> log.write("boot_clock", "available=false why=\"{}\"", reason),
+        () -> log.write("boot_clock", "available=true"));
+  }
+
   /** Adds the gauges and starts the server and the fleet control. */
   public void start() {
     addGauges();
+    logBootClock(bootClock.failure());
     server.start();
     fleet.start();
     log.write(
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/OrderFactsTest.java
@@ -7,8 +7,11 @@
 import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.core.send.SendKind;
 import io.cuminvalve.core.send.SendObstacle;
+import io.cuminvalve.kernel.BootClock;
+import io.cuminvalve.kernel.SuspensionClock;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -19,8 +22,10 @@
   private static final TargetId TARGET = new TargetId("a");
   private static final long GRACE_MS = 9_500;
   private static final long STEP_MS = 2_000;
+  private static final List<SendKind> ORDERS = List.of(SendKind.GRANT, SendKind.RELEASE);
 
   private long nowMs = 50_000;
+  private long suspendedMs;
   private boolean holdsTerm = true;
   private UpperTime confirmed = new UpperTime(nowMs);
   private UpperTime decided = new UpperTime(nowMs);
@@ -32,7 +37,11 @@
   }
 
   private Optional<SendObstacle> check(SendKind kind) {
-    return gate.check(kind, new OrderFacts(new TestState(), () -> holdsTerm, TARGET, decided));
+    return check(gate, kind);
+  }
+
+  private Optional<SendObstacle> check(SendGate checked, SendKind kind) {
+    return checked.check(kind, new OrderFacts(new TestState(), () -> holdsTerm, TARGET, decided));
   }
 
   @Test
@@ -83,6 +92,37 @@
     assertThat(check(SendKind.RELEASE)).hasValue(new SendObstacle(SendCondition.TERM_HELD, false));
   }
 
+  /**
+   * Guards against two owners: the host is suspended between the decision and the first byte, and
+   * its wall clock is set back by the same amount meanwhile.
+   */
+  @Test
+  void ordersAreNotSentAfterSuspensionThatBackwardStepHides() {
+    SuspensionClock clock =
+        new SuspensionClock(
+            () -> nowMs,
+            () -> nowMs,
+            new BootClock(() -> nowMs + suspendedMs, failure -> {}),
+            forMs -> {});
+    final SendGate suspendableGate = new SendGate(clock);
+    confirmed = clock.upper();
+    decided = clock.upper();
+    for (SendKind kind : ORDERS) {
+      assertThat(check(suspendableGate, kind)).isEmpty();
+    }
+    suspendedMs = STEP_MS;
+    for (SendKind kind : ORDERS) {
+      assertThat(check(suspendableGate, kind))
+          .hasValue(new SendObstacle(SendCondition.DECISION_RECENT, true));
+    }
+    suspendedMs = GRACE_MS + 1;
+    decided = clock.upper();
+    for (SendKind kind : ORDERS) {
+      assertThat(check(suspendableGate, kind))
+          .hasValue(new SendObstacle(SendCondition.TERM_HELD, true));
+    }
+  }
+
   private final class TestState implements HolderState {
 
     @Override
--- a/cuminvalve-kernel/src/test/java/io/cuminvalve/kernel/SuspensionClockTest.java
+++ b/cuminvalve-kernel/src/test/java/io/cuminvalve/kernel/SuspensionClockTest.java
@@ -7,9 +7,10 @@
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 
-/** Tests suspensions and wall clock steps with simulated clocks. */
+/** Tests suspensions and wall clock steps with simulated clocks, with and without a boot clock. */
 class SuspensionClockTest {
 
+  private static final String REFUSED = "io.cuminvalve.kernel.CodedException: errno 1";
   private static final long EPOCH_MS = 1_700_000_000_000L;
 
   private long monotonicMs = 5_000;
@@ -17,9 +18,23 @@
   private final List<Long> reportedMs = new ArrayList<>();
   private int readings;
   private int pauseAtReading = -1;
+  private long bootOffsetMs = 90_000;
+  private boolean bootClockRefused;
+  private final List<String> bootClockFailures = new ArrayList<>();
 
+  private final BootClock bootClock = new BootClock(this::readBootClock, bootClockFailures::add);
+
+  private final SuspensionClock clockWithBootClock =
+      new SuspensionClock(
+          this::readMonotonic, () -> monotonicMs + offsetMs, bootClock, reportedMs::add);
+
+  /** The wall clock alone shows suspensions to it. */
   private final SuspensionClock clock =
-      new SuspensionClock(this::readMonotonic, () -> monotonicMs + offsetMs, reportedMs::add);
+      new SuspensionClock(
+          this::readMonotonic,
+          () -> monotonicMs + offsetMs,
+          BootClock.unavailable("not simulated"),
+          reportedMs::add);
 
   private long readMonotonic() {
     readings++;
@@ -29,6 +44,19 @@
     return monotonicMs;
   }
 
+  private long readBootClock() {
+    if (bootClockRefused) {
+      throw new CodedException(ErrorCode.INTERNAL, "errno 1");
+    }
+    return monotonicMs + bootOffsetMs;
+  }
+
+  /** Suspends the host; the wall clock is set by some time before the process runs again. */
+  private void suspend(long forMs, long wallClockStepMs) {
+    bootOffsetMs += forMs;
+    offsetMs += forMs + wallClockStepMs;
+  }
+
   @Test
   void upperBoundFollowsMonotonicClock() {
     final long startMs = clock.nowMs();
@@ -121,4 +149,98 @@
       lastMs = nowMs;
     }
   }
+
+  /** Guards against two owners: a term holder that does not notice it renews expired leases. */
+  @Test
+  void suspensionThatBackwardStepHidesIsAddedToUpperBound() {
+    final UpperTime start = clockWithBootClock.upper();
+    final long startMs = clockWithBootClock.nowMs();
+    suspend(25_000, -25_000);
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(25_000);
+    assertThat(clockWithBootClock.nowMs()).isEqualTo(startMs);
+    assertThat(reportedMs).containsExactly(25_000L);
+  }
+
+  @Test
+  void suspensionThatBothClocksShowIsAddedOnce() {
+    final UpperTime start = clockWithBootClock.upper();
+    suspend(7_000, 0);
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(7_000);
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(7_000);
+    suspend(2_000, 3_000);
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(12_000);
+    assertThat(reportedMs).containsExactly(7_000L, 5_000L).inOrder();
+  }
+
+  /** The virtual machine was paused with all its clocks, and the time is corrected afterwards. */
+  @Test
+  void gainOfWallClockAloneIsAddedToUpperBound() {
+    final UpperTime start = clockWithBootClock.upper();
+    offsetMs += 25_000;
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(25_000);
+  }
+
+  @Test
+  void shortSuspensionsAddUp() {
+    final UpperTime start = clockWithBootClock.upper();
+    for (int i = 0; i < 1_000; i++) {
+      suspend(60, -60);
+      clockWithBootClock.upper();
+    }
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(60_000);
+  }
+
+  @Test
+  void pausesWithinOneReadingAreNoSuspensions() {
+    clockWithBootClock.upper();
+    for (int reading = 1; reading <= 6; reading++) {
+      pauseAtReading = readings + reading;
+      clockWithBootClock.upper();
+      clockWithBootClock.upper();
+    }
+    assertThat(reportedMs).isEmpty();
+    assertThat(bootClockFailures).isEmpty();
+  }
+
+  @Test
+  void upperBoundCoversEverySuspensionWhateverTheWallClockDoes() {
+    Random random = new Random(11);
+    final UpperTime start = clockWithBootClock.upper();
+    long elapsedMs = 0;
+    for (int i = 0; i < 100_000; i++) {
+      long forMs = random.nextInt(20);
+      monotonicMs += forMs;
+      elapsedMs += forMs;
+      if (random.nextInt(50) == 0) {
+        long suspendedForMs = random.nextInt(10_000);
+        suspend(suspendedForMs, random.nextInt(40_000) - 30_000L);
+        elapsedMs += suspendedForMs;
+      }
+      assertThat(clockWithBootClock.upper().sinceMs(start))
+          .isAtLeast(elapsedMs - SuspensionClock.SUSPENSION_THRESHOLD_MS);
+    }
+  }
+
+  @Test
+  void bootClockThatFallsBehindIsNotUsedAnyLonger() {
+    final UpperTime start = clockWithBootClock.upper();
+    bootOffsetMs -= 101;
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(0);
+    assertThat(bootClockFailures)
+        .containsExactly("boot clock fell behind the monotonic clock by 101 ms");
+    bootOffsetMs += 50_000;
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(0);
+    assertThat(bootClockFailures).hasSize(1);
+    offsetMs += 7_000;
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(7_000);
+  }
+
+  @Test
+  void wallClockIsUsedWhileBootClockIsRefused() {
+    final UpperTime start = clockWithBootClock.upper();
+    bootClockRefused = true;
+    suspend(7_000, 0);
+    assertThat(clockWithBootClock.upper().sinceMs(start)).isEqualTo(7_000);
+    assertThat(bootClockFailures).containsExactly(REFUSED);
+  }
 }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -6,7 +6,15 @@
   -Dspotless.check.skip=true -Dcheckstyle.skip=true package
 
 program=target/cuminvalve-gateway.jar
-rehearsal="java -Xms48m -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar $program"
+
+# Hosts may have no directory into which the program could unpack native libraries.
+native=target/native
+jna=com/sun/jna
+mkdir -p $native
+(cd $native && jar xf ../../$program $jna/linux-x86-64 $jna/linux-aarch64)
+jna_options="-Djna.nounpack=true -Djna.boot.library.path=$native/$jna/linux-x86-64:$native/$jna/linux-aarch64"
+
+rehearsal="java $jna_options -Xms48m -Xmx160m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -jar $program"
 
 # Without the archive everything works, only the start takes longer.
 {
