Say in HiddenSuspensionTest which clock hides the suspension

Cause: its comment repeated that no clock of the host shows it. Change: the comment only; no line of code. Conclusion: the boot clock shows it.

--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/HiddenSuspensionTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/HiddenSuspensionTest.java
@@ -31,8 +31,8 @@
 
   /**
    * Guards against two owners after a suspension during which the wall clock is set back by the
-   * same amount: no clock of the host shows the suspension, so the term holder renews expired
-   * leases.
+   * same amount: the wall clock does not show the suspension then, and a term holder that does not
+   * notice it renews expired leases.
    */
   @Test
   void suspensionsThatStepsBackHideStopTheHolder() {
