--- a/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/SuspensionClock.java
+++ b/cuminvalve-kernel/src/main/java/io/cuminvalve/kernel/SuspensionClock.java
@@ -8,8 +8,8 @@
  * A monotonic clock whose upper bound includes the time for which the host was suspended.
  *
  * <p>The monotonic clock of a process stops while its host is suspended, the boot clock and the
- * wall clock do not. What either of them gains on the monotonic clock is added to the upper bound:
- * of one reading the greater of the two gains.
+ * wall clock do not. What they gain on the monotonic clock from one reading to the next is added to
+ * the upper bound; if both gain, the greater gain counts.
  *
  * <ul>
  *   <li>The boot clock cannot be set, so it shows every suspension, even if the wall clock is set
@@ -78,6 +78,7 @@
     this.bootClock = bootClock;
     this.onSuspended = onSuspended;
     this.wallClockOffsetMs = wallClockMs.getAsLong() - monotonicMs.getAsLong();
+    // An unavailable clock stays unavailable, so its offset is never used.
     this.bootClockOffsetMs = bootClock.readMs().orElse(0) - monotonicMs.getAsLong();
   }
 
