--- a/review/1/LateSecondRefusal.java
+++ b/review/1/LateSecondRefusal.java
@@ -14,10 +14,6 @@
  */
 final class LateSecondRefusal {
 
-  private static final int HELD = 0;
-  private static final int BROKEN = 1;
-  private static final int NOT_RUN = 2;
-
   private static final int CLIENTS_PER_GATEWAY = 3;
   private static final double TRAFFIC_S = 60;
   private static final double REJECTED_SHARE = 0.15;
@@ -34,14 +30,8 @@
     this.record = record;
   }
 
-  public static void main(String[] arguments) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int result;
-    try (Record record = new Record(arguments[0])) {
-      result = new LateSecondRefusal(record).play(trouble);
-      record.tell("exit %d", result);
-    }
-    Runtime.getRuntime().exit(result);
+  public static void main(String[] arguments) {
+    Case.run(arguments[0], (record, trouble) -> new LateSecondRefusal(record).play(trouble));
   }
 
   private int play(boolean trouble) throws Exception {
@@ -49,9 +39,9 @@
       fleet.addInstance("i-aaaa0001", "chapinero", 100);
       fleet.addInstance("i-bbbb0002", "usaquen", 100);
       fleet.startGateways(true);
-      if (!fleet.gateways.awaitReady(30) || !fleet.awaitKeysHeld(30)) {
+      if (!fleet.gateways.awaitReady(12) || !fleet.awaitKeysHeld(12)) {
         record.tell("the fleet did not get ready");
-        return NOT_RUN;
+        return Case.NOT_RUN;
       }
       fleet.instances.forEach(instance -> instance.rejectShare(REJECTED_SHARE));
       if (trouble) {
@@ -126,9 +116,9 @@
             + " %d refused though they ran (REFUSED)",
         answers.size(), runs.size(), twice, refused);
     if (runs.isEmpty()) {
-      return NOT_RUN;
+      return Case.NOT_RUN;
     }
-    return twice + refused > 0 ? BROKEN : HELD;
+    return twice + refused > 0 ? Case.BROKEN : Case.HELD;
   }
 
   private static String times(Map.Entry<String, List<Instance.Run>> entry) {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -84,6 +84,13 @@
     return true;
   }
 
+  /** Removes an item on behalf of an instance that has left. */
+  synchronized void delete(String key) {
+    if (!down) {
+      remove(key);
+    }
+  }
+
   synchronized boolean has(String key) {
     return items.containsKey(key);
   }
