Review: the third case is a late second answer of a replaced instance

Cause: answers to orders are taken for whatever order waits; 421 is worse than a grant's 200. Change: case 3 is played with instances that crash; the judge of shared keys moves to the stand-ins.

--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Stream;
 
 /** A small deployment: a store, instances of one service that is divided by key, and gateways. */
@@ -36,7 +37,7 @@
   final Record record;
   final Store store;
   final Gateways gateways;
-  final List<Instance> instances = new ArrayList<>();
+  final List<Instance> instances = new CopyOnWriteArrayList<>();
   private final Path folder;
   private final String ip;
 
@@ -66,8 +67,13 @@
 
   /** Starts an instance, which registers itself. */
   Instance addInstance(String id, String zone, long workMs) throws IOException {
-    Instance instance =
-        new Instance(ip, id, SERVICE, zone, store, record, workMs, 7 + instances.size());
+    return addInstance(id, zone, workMs, 0);
+  }
+
+  /** Starts an instance on a port; on any free one if it is 0. */
+  Instance addInstance(String id, String zone, long workMs, int port) throws IOException {
+    int seed = 7 + instances.size();
+    Instance instance = new Instance(ip, port, id, SERVICE, zone, store, record, workMs, seed);
     instances.add(instance);
     record.write("instance %s at %s starts", id, instance.address());
     return instance;
--- a/review/standin/Instance.java
+++ b/review/standin/Instance.java
@@ -3,13 +3,13 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.Semaphore;
-import java.util.function.Consumer;
 
 /**
  * An instance of a service that is divided by key. It runs requests for the keys that it holds,
@@ -37,9 +37,6 @@
     }
   }
 
-  /** A grant that an instance has taken. */
-  record Handout(Instance to, int from, int last, long token) {}
-
   /** One request that the instance began to work on. */
   record Run(Instance instance, String attemptId, String method, int key, double begin) {}
 
@@ -61,7 +58,6 @@
   private final long bornMs = System.currentTimeMillis();
   private final long[] seenToken = new long[KEYS];
   private final double[] heldUntil = new double[KEYS];
-  private final double[] grantedUntil = new double[KEYS];
   private final Semaphore slots = new Semaphore(SLOTS, true);
   private final Semaphore places = new Semaphore(SLOTS + QUEUE);
   private final List<Hold> holds = new ArrayList<>();
@@ -69,17 +65,15 @@
   private final Map<Integer, Integer> atWork = new HashMap<>();
   private volatile double fullShare;
   private volatile double lateCopyShare;
-  private volatile double lateGrantCopyShare;
-  private volatile Consumer<Handout> onGrant = handout -> {};
-  private volatile String state = "ready";
+  private volatile double lateOrderCopyShare;
   private volatile boolean gone;
   private int seq;
 
   Instance(
-      String ip, String id, String service, String zone, Store store, Record record, long workMs,
-      long seed)
+      String ip, int port, String id, String service, String zone, Store store, Record record,
+      long workMs, long seed)
       throws IOException {
-    super(ip);
+    super(ip, port);
     this.id = id;
     this.service = service;
     this.zone = zone;
@@ -103,28 +97,9 @@
     lateCopyShare = share;
   }
 
-  /** Sends a share of the answers to grants once more, late, where the next one is expected. */
-  void repeatGrantAnswersLate(double share) {
-    lateGrantCopyShare = share;
-  }
-
-  /** Sets who is told of each grant that this instance takes. */
-  void onGrant(Consumer<Handout> listener) {
-    onGrant = listener;
-  }
-
-  /**
-   * Returns a key of a range on which it is at work and which it would still hold, had it not been
-   * asked to release it; -1 if there is none.
-   */
-  synchronized int keyAtWork(int from, int to) {
-    double now = record.now();
-    for (int key : atWork.keySet()) {
-      if (key >= from && key <= to && grantedUntil[key] > now) {
-        return key;
-      }
-    }
-    return -1;
+  /** Sends a share of the 421 to orders once more, late, where the next answer is expected. */
+  void repeatOrderRejectionsLate(double share) {
+    lateOrderCopyShare = share;
   }
 
   synchronized List<Hold> holds() {
@@ -156,19 +131,20 @@
     }
   }
 
-  /** Reports that it leaves; it goes on serving until it is told to end. */
-  void drain() {
-    state = "draining";
-    store.put("servers/" + id, entry());
-    record.write("%s is draining", id);
+  /** Crashes: it holds nothing any longer, and its entry stays until it expires. */
+  void crash() {
+    synchronized (this) {
+      gone = true;
+      endHolds(0, KEYS - 1, record.now());
+      Arrays.fill(heldUntil, 0);
+    }
+    close();
+    record.write("%s crashes", id);
   }
 
-  /** Ends: its entry is removed and its connections are closed. */
-  void leave() {
-    gone = true;
-    store.delete("servers/" + id);
-    close();
-    record.write("%s has left", id);
+  /** Returns the port on which it listens. */
+  int port() {
+    return Integer.parseInt(address().substring(address().lastIndexOf(':') + 1));
   }
 
   /** Returns its entry in the registry. */
@@ -176,7 +152,7 @@
     seq++;
     return "{\"address\":\"" + address() + "\",\"born\":" + bornMs
         + ",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"" + zone
-        + "\",\"slots\":" + SLOTS + "},\"status\":{\"state\":\"" + state + "\",\"seq\":" + seq
+        + "\",\"slots\":" + SLOTS + "},\"status\":{\"state\":\"ready\",\"seq\":" + seq
         + ",\"cold_remaining\":\"0ms\"}}";
   }
 
@@ -200,7 +176,7 @@
       throws IOException, InterruptedException {
     String named = request.header("X-Target-Instance");
     if (named != null && !named.equals(id)) {
-      connection.send(reject(MISDIRECTED, request));
+      rejectOrder(connection, request, named);
       return;
     }
     JsonNode body = Store.JSON.readTree(request.body());
@@ -218,16 +194,22 @@
     double holdS = Long.parseLong(body.path("hold_time").asText().replace("ms", "")) / 1e3;
     boolean taken = grant(from, to, token, holdS);
     byte[] answer = response(taken ? 200 : CONFLICT, echo(request, "Server", id), new byte[0]);
-    if (taken) {
-      onGrant.accept(new Handout(this, from, to, token));
-    }
-    if (taken && chance(lateGrantCopyShare)) {
-      connection.lateCopies.add(answer);
-      record.write("%s conn %d: a copy of this answer will come late", id, connection.number);
-    }
     connection.send(answer);
   }
 
+  private void rejectOrder(Connection connection, Request request, String named)
+      throws IOException {
+    byte[] rejection = reject(MISDIRECTED, request);
+    boolean again = chance(lateOrderCopyShare);
+    if (again) {
+      connection.lateCopies.add(rejection);
+    }
+    record.write(
+        "%s conn %d: rejects %s for %s with 421%s", id, connection.number, request.path(), named,
+        again ? "; a copy will come late" : "");
+    connection.send(rejection);
+  }
+
   /** Returns a header, and the id of the request if it has one. */
   private static Map<String, String> echo(Request request, String name, String value) {
     Map<String, String> headers = new LinkedHashMap<>();
@@ -239,6 +221,9 @@
   }
 
   private synchronized boolean grant(int from, int to, long token, double holdS) {
+    if (gone) {
+      return false;
+    }
     for (int key = from; key <= to; key++) {
       if (seenToken[key] > token) {
         return false;
@@ -251,7 +236,6 @@
       seenToken[key] = token;
       renewal &= heldUntil[key] > now;
       heldUntil[key] = now + holdS;
-      grantedUntil[key] = now + holdS;
     }
     holds.add(new Hold(this, from, to, token, now, now + holdS));
     record.write(
@@ -357,7 +341,7 @@
 
   /** Begins to work on a request, unless the key is no longer held. */
   private synchronized boolean begin(String attemptId, String method, int key) {
-    if (!holdsKey(key)) {
+    if (gone || !holdsKey(key)) {
       return false;
     }
     runs.add(new Run(this, attemptId, method, key, record.now()));
--- a/review/standin/RawServer.java
+++ b/review/standin/RawServer.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -72,8 +73,11 @@
   private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
   private int accepted;
 
-  RawServer(String ip) throws IOException {
-    this.listener = new ServerSocket(0, 256, InetAddress.getByName(ip));
+  /** Binds a port of an address; any free one if it is 0. */
+  RawServer(String ip, int port) throws IOException {
+    this.listener = new ServerSocket();
+    listener.setReuseAddress(true);
+    listener.bind(new InetSocketAddress(InetAddress.getByName(ip), port), 256);
   }
 
   final void open() {
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -43,7 +43,7 @@
   private boolean down;
 
   Store(String ip, Record record) throws IOException {
-    super(ip);
+    super(ip, 0);
     this.record = record;
     open();
     Thread sweeper = new Thread(this::sweep, "leases");
