Give each attempt of a request a connection of its own

Cause: a booking ran twice, or ran once and was answered 503. Its caller saw 200 or 503. All attempts of a request carry the caller's id, and the pool gave the second attempt the connection of the first. A target that repeats a rejection late sends the copy there, where the response to the second attempt is expected: id and connection fit, so TargetAttempt took it for proof that the attempt did not run while the target ran it. Change: TargetRequest says how many attempts of the request were made at the address before, and TargetClient keeps a pool for each such number. Attempts of one request therefore never share a connection, whatever comes in between, and an id identifies the response on its connection. Connections of later attempts are kept and shared by the later attempts of all requests, so none is opened for a rejection as such. No rejection closes a connection.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -10,7 +10,9 @@
 import io.cuminvalve.gateway.observe.RequestOutcome;
 import io.cuminvalve.router.caller.CallerHeaders;
 import io.cuminvalve.router.request.Timers.Cancellable;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.Callback;
@@ -28,6 +30,7 @@
   private final SlotRequest slotRequest;
   private final ExchangeStateMachine machine;
   private final Runnable onEnded;
+  private final Map<String, Integer> attemptsByAddress = new HashMap<>();
 
   private volatile Slot slot;
   private volatile TargetAttempt currentAttempt;
@@ -223,8 +226,9 @@
    * request can abandon it; if the request has ended already, the attempt never starts.
    */
   private void send() {
+    int earlierAttempts = countAttempt(slot.target().address());
     TargetAttempt attempt =
-        new TargetAttempt(services, call, slotRequest, slot, machine.runs(), this);
+        new TargetAttempt(services, call, slotRequest, slot, machine.runs(), earlierAttempts, this);
     boolean begins;
     synchronized (this) {
       begins = !machine.isDone();
@@ -239,6 +243,11 @@
     }
   }
 
+  /** Counts an attempt at an address and returns how many there were before. */
+  private synchronized int countAttempt(String address) {
+    return attemptsByAddress.merge(address, 1, Integer::sum) - 1;
+  }
+
   private void abandon(boolean late) {
     TargetAttempt attempt = currentAttempt;
     if (attempt == null) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -23,9 +23,10 @@
 /**
  * One attempt to send a request to a target and to receive its response.
  *
- * <p>A response counts only if it is complete and carries the id of this attempt: a target may
+ * <p>A response counts only if it is complete and carries the id of the request: a target may
  * respond twice, late, or with bytes that belong to no request. Any other response closes the
- * connection.
+ * connection. All attempts of a request have the same id, so each one has a connection that none of
+ * the earlier ones has used.
  */
 final class TargetAttempt implements TargetListener {
 
@@ -55,6 +56,7 @@
   private final SlotRequest slotRequest;
   private final Slot slot;
   private final int runsBefore;
+  private final int earlierAttempts;
   private final Listener listener;
   private final TargetExchange exchange;
   private final Handover handover = new Handover();
@@ -66,18 +68,31 @@
   /** The send condition that failed before the first byte. */
   private volatile Optional<SendObstacle> obstacle = Optional.empty();
 
+  /**
+   * Creates an attempt that is not started.
+   *
+   * @param services the services that hold the state; not null
+   * @param call the request; not null
+   * @param slotRequest the request for the slot; not null
+   * @param slot the slot at the target; not null
+   * @param runsBefore the number of targets on which the request may have run before
+   * @param earlierAttempts the number of attempts made before at the address of the target
+   * @param listener receives the result; not null
+   */
   TargetAttempt(
       ExchangeServices services,
       CallerRequest call,
       SlotRequest slotRequest,
       Slot slot,
       int runsBefore,
+      int earlierAttempts,
       Listener listener) {
     this.services = services;
     this.call = call;
     this.slotRequest = slotRequest;
     this.slot = slot;
     this.runsBefore = runsBefore;
+    this.earlierAttempts = earlierAttempts;
     this.listener = listener;
     this.sentMs = services.clock().nowMs();
     this.exchange = services.client().prepare(targetRequest(), this);
@@ -96,7 +111,8 @@
         call.request().getMethod(),
         call.request().getHttpURI().getPathQuery(),
         headers,
-        content());
+        content(),
+        earlierAttempts);
   }
 
   private Request.Content content() {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
@@ -19,13 +19,28 @@
 /**
  * A target on raw sockets that records each request as soon as it has been read.
  *
- * <p>Its response depends on the prefix of the request's id, see the constants.
+ * <p>Unless a script is given, its response depends on the prefix of the request's id, see the
+ * constants.
  */
 final class RawTarget implements AutoCloseable {
 
   /** Requests with this prefix wait for {@link #releaseResponses}, then get a "not executed". */
   static final String REFUSED_LATE = "refused-late-";
 
+  /** Decides on the bytes that are sent after a request has been read. */
+  @FunctionalInterface
+  interface Script {
+
+    /**
+     * Returns what to send; called on a thread of the connection.
+     *
+     * @param connection the number of the connection, counted from 1
+     * @param id the id of the request; not null
+     */
+    String responseTo(int connection, String id) throws InterruptedException;
+  }
+
+  private final Script script;
   private final ServerSocket listener;
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private final List<Arrival> arrivals = new ArrayList<>();
@@ -33,12 +48,17 @@
   private final CountDownLatch responsesReleased = new CountDownLatch(1);
 
   RawTarget() throws IOException {
+    this(null);
+  }
+
+  RawTarget(Script script) throws IOException {
+    this.script = script == null ? this::responseByPrefix : script;
     listener = new ServerSocket(0, 512, InetAddress.getByName("127.0.0.1"));
     thread(this::acceptAll);
   }
 
   /** A request as it reached the target. */
-  record Arrival(String id, long deadlineMs) {}
+  record Arrival(String id, long deadlineMs, int connection) {}
 
   String address() {
     return "127.0.0.1:" + listener.getLocalPort();
@@ -70,14 +90,15 @@
         Socket socket = listener.accept();
         accepted.add(socket);
         openConnections.incrementAndGet();
-        thread(() -> serve(socket));
+        int connection = accepted.size();
+        thread(() -> serve(socket, connection));
       }
     } catch (IOException closed) {
       // The test is over.
     }
   }
 
-  private void serve(Socket socket) {
+  private void serve(Socket socket, int connection) {
     try (socket) {
       InputStream input = socket.getInputStream();
       for (String head = readHead(input); head != null; head = readHead(input)) {
@@ -85,9 +106,10 @@
         long deadlineMs = header(head, "X-Deadline-Ms").map(Long::parseLong).orElse(-1L);
         input.readNBytes(header(head, "Content-Length").map(Integer::parseInt).orElse(0));
         synchronized (this) {
-          arrivals.add(new Arrival(id, deadlineMs));
+          arrivals.add(new Arrival(id, deadlineMs, connection));
         }
-        socket.getOutputStream().write(responseTo(id).getBytes(StandardCharsets.ISO_8859_1));
+        String response = script.responseTo(connection, id);
+        socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
       }
     } catch (IOException closed) {
       // The gateway closed the connection, which several tests expect.
@@ -103,14 +125,28 @@
     return openConnections.get();
   }
 
-  private String responseTo(String id) throws InterruptedException {
+  private String responseByPrefix(int connection, String id) throws InterruptedException {
     if (id.startsWith(REFUSED_LATE)) {
       responsesReleased.await();
       return "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
     }
+    return success(id);
+  }
+
+  /** Returns the response to a request that ran. */
+  static String success(String id) {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
   }
 
+  /** Returns the response to a request that did not run. */
+  static String rejection(int status, String id) {
+    return "HTTP/1.1 "
+        + status
+        + " Rejected\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "
+        + id
+        + "\r\nContent-Length: 0\r\n\r\n";
+  }
+
   /** Reads up to and including the empty line; null at the end of the stream. */
   static String readHead(InputStream input) throws IOException {
     ByteArrayOutputStream head = new ByteArrayOutputStream();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -6,6 +6,7 @@
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
+import io.cuminvalve.core.lease.RangeRoute;
 import io.cuminvalve.core.route.CallerBounds;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
@@ -26,6 +27,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -144,6 +146,39 @@
     return this;
   }
 
+  /** Installs a route for requests that must not run twice, whose keys all belong to one target. */
+  StallableGateway configureKeyed() {
+    Route route =
+        new Route(
+            "bookings",
+            "files",
+            "/bookings/",
+            false,
+            ROUTE_TIMEOUT_MS,
+            ROUTE_TIMEOUT_MS,
+            0,
+            List.of(new WeightedService(SERVICE, 1)),
+            3);
+    RoutingConfiguration configuration =
+        new RoutingConfiguration(
+            1,
+            List.of(route),
+            List.of(new ServiceProfile(SERVICE, true, 1_000)),
+            new CallerBounds(8_192, 1L << 20, 10_000, 60_000));
+    TargetId owner = new TargetId("bookings-1");
+    FleetTarget registered =
+        new FleetTarget(owner, SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
+    KeyOwners owners = new KeyOwners(List.of(new RangeRoute(0, 65_535, owner, true)));
+    state.watch(this::upper, () -> 1_900, () -> true);
+    state.update(
+        snapshot ->
+            snapshot
+                .withTargets(List.of(registered))
+                .withOwners(Map.of(SERVICE, owners), new OwnersVersion(1, 1))
+                .withConfiguration(configuration));
+    return this;
+  }
+
   private UpperTime upper() {
     return new UpperTime(clock.nowMs());
   }
@@ -266,6 +301,11 @@
     try (Call last = connect().send(marker, "/files/", ROUTE_TIMEOUT_MS)) {
       last.status();
     }
+    stopWhenIdle();
+  }
+
+  /** Waits until all requests that were read have ended, stops the server and drains the target. */
+  void stopWhenIdle() {
     await(() -> inFlight() == 0);
     server.stop();
     await(() -> target.openConnections() == 0);
@@ -309,6 +349,12 @@
       return write(head(id, "GET " + path, deadlineMs, ""));
     }
 
+    /** Sends a request with a key and a body, which must not run twice. */
+    Call sendBooking(String id, int key) throws IOException {
+      String headers = "X-Shard-Key: " + key + "\r\nContent-Length: 2\r\n";
+      return write(head(id, "POST /bookings/", ROUTE_TIMEOUT_MS, headers) + "ok");
+    }
+
     /** Sends the head of a request and a part of its body. */
     Call sendPart(String id, long deadlineMs, int length, String part) throws IOException {
       return write(
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -205,7 +205,7 @@
               DEADLINE_MS,
               clock.upper().plusMs(DEADLINE_MS),
               CONFIGURATION.version());
-      return new TargetAttempt(services, call, slotRequest, slot, runs, null)
+      return new TargetAttempt(services, call, slotRequest, slot, runs, 0, null)
           .onConnection(HttpFields.build());
     }
   }
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -27,6 +27,11 @@
  * round, no resend on a connection that turned out to be closed. It keeps no cookies and decodes no
  * content.
  *
+ * <p>Attempts of one request at one address never share a connection: the n-th attempts of all
+ * requests have a pool of their own. All attempts carry the same identifier, so on a shared
+ * connection a late copy of the answer to an earlier attempt would pass for the answer to a later
+ * one.
+ *
  * @since 0.1
  */
 public final class TargetClient implements ManagedService {
@@ -122,6 +127,9 @@
     made.scheme(SCHEME).method(request.method()).path(request.pathAndQuery());
     made.headers(fields -> fields.clear().add(request.headers()));
     made.idleTimeout(0, TimeUnit.MILLISECONDS);
+    if (request.earlierAttempts() > 0) {
+      made.tag(request.earlierAttempts());
+    }
     if (request.body() != null) {
       made.body(request.body());
     }
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetRequest.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetRequest.java
@@ -12,6 +12,8 @@
  * @param pathAndQuery the path with the query, as the caller sent it; not null
  * @param headers the header fields to send, without hop-by-hop fields; not null
  * @param body the body; null if there is none
+ * @param earlierAttempts how many attempts of the same request this router has made at this address
+ *     before; at least 0
  * @since 0.1
  */
 public record TargetRequest(
@@ -19,4 +21,16 @@
     String method,
     String pathAndQuery,
     HttpFields headers,
-    Request.Content body) {}
+    Request.Content body,
+    int earlierAttempts) {
+
+  /** Creates the first attempt of a request at an address. */
+  public TargetRequest(
+      InetSocketAddress address,
+      String method,
+      String pathAndQuery,
+      HttpFields headers,
+      Request.Content body) {
+    this(address, method, pathAndQuery, headers, body, 0);
+  }
+}
