Count a rejection only for the request that it names

Cause: a rejection without an id counted for whatever request was waiting on the connection. If it belonged to another one, the caller was told 503, or its request was sent again, although the target ran it. Evidence: the protocol has targets repeat the id in all responses, and names one rejection without it, of a request that has none itself. Change: a rejection without an id counts only for a request without an id, which no target runs. Otherwise the attempt may have run, and the connection is closed. The stand-ins repeat the id in rejections, as targets do.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -178,8 +178,12 @@
         .whenComplete((body, failure) -> onBodyRead(response, signals, body, failure));
   }
 
+  /** Targets run no request without an id, so only a rejection of such a request has none. */
   private boolean isForThisAttempt(TargetSignals signals) {
-    return signals.attemptId().map(call.attemptId()::equals).orElse(signals.notExecuted());
+    return signals
+        .attemptId()
+        .map(call.attemptId()::equals)
+        .orElse(call.attemptId().isEmpty() && signals.notExecuted());
   }
 
   private void onBodyRead(
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateRejectionTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/LateRejectionTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -28,10 +29,13 @@
   /** Virtual time between two requests of a caller, in which the retry budget recovers. */
   private static final long PAUSE_MS = 250;
 
+  private static final int BAD_REQUEST = 400;
+  private static final int BAD_GATEWAY = 502;
   private static final int BUSY = 503;
   private static final int TOO_MANY_REQUESTS = 429;
   private static final int MISDIRECTED = 421;
-  private static final Set<Integer> NOT_RUN_STATUSES = Set.of(408, MISDIRECTED, 429, BUSY);
+  private static final Set<Integer> NOT_RUN_STATUSES =
+      Set.of(408, MISDIRECTED, TOO_MANY_REQUESTS, BUSY);
 
   /** Guards against attempts of one request that share a connection. */
   @Test
@@ -84,6 +88,32 @@
     assertThat(script.runs()).containsExactly("booking");
   }
 
+  /** Guards against a second run because a rejection that names no request counts for any. */
+  @Test
+  void rejectionsThatNameNoRequestRejectNone() throws Exception {
+    List<String> runs = new CopyOnWriteArrayList<>();
+    RawTarget.Script script =
+        (connection, id) -> {
+          runs.add(id);
+          return RawTarget.rejectionWithoutId(BUSY) + RawTarget.success(id);
+        };
+    try (RawTarget target = new RawTarget(script);
+        StallableGateway gateway = new StallableGateway(target).configureKeyed()) {
+      assertThat(sendBooking(gateway, "booking")).isEqualTo(BAD_GATEWAY);
+    }
+    assertThat(runs).containsExactly("booking");
+  }
+
+  /** Guards against a doubtful answer to requests that no target runs, since they have no id. */
+  @Test
+  void requestsWithoutIdAreRefusedAsNotRun() throws Exception {
+    RawTarget.Script script = (connection, id) -> RawTarget.rejectionWithoutId(BAD_REQUEST);
+    try (RawTarget target = new RawTarget(script);
+        StallableGateway gateway = new StallableGateway(target).configureKeyed()) {
+      assertThat(sendBooking(gateway, "")).isEqualTo(BUSY);
+    }
+  }
+
   /** Guards against second runs and wrong refusals where callers share the connections. */
   @Test
   void copiesOfRejectionsOfManyCallersRejectNoOtherAttempt() throws Exception {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
@@ -128,7 +128,7 @@
   private String responseByPrefix(int connection, String id) throws InterruptedException {
     if (id.startsWith(REFUSED_LATE)) {
       responsesReleased.await();
-      return "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+      return rejection(503, id);
     }
     return success(id);
   }
@@ -140,11 +140,16 @@
 
   /** Returns the response to a request that did not run. */
   static String rejection(int status, String id) {
-    return "HTTP/1.1 "
-        + status
-        + " Rejected\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "
-        + id
-        + "\r\nContent-Length: 0\r\n\r\n";
+    return rejection(status + " Rejected\r\nX-Attempt-Id: " + id);
+  }
+
+  /** Returns a rejection that does not name its request. */
+  static String rejectionWithoutId(int status) {
+    return rejection(status + " Rejected");
+  }
+
+  private static String rejection(String start) {
+    return "HTTP/1.1 " + start + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
   }
 
   /** Reads up to and including the empty line; null at the end of the stream. */
