Take no copy of an earlier response for the one to a lease order

Cause: responses to grants and releases name no order, and any response that came next counted. A copy of a 421 to an order for a former id passed for the answer to a grant: a living target was taken for ended and its keys were granted elsewhere. A copy of a grant's 200 passed for a release's, so keys moved while work on them ran. Callers met two owners of one key. Change: GuardedCall takes a ResponseCheck, which sees the head of a response and what earlier ones on the connection said, before the connection can be used again. OrderResponseCheck accepts a response that frees keys, ends a target or rejects an order only if the connection has not brought the same one before; a release needs a handover, a grant has none, and a 421 must not come from the target that the order names. Otherwise the connection is closed and the order counts as unanswered, which is safe: its lease is waited for, and it is sent again on another connection. callIf and callOverKnownConnection are one method now. Tests: without the change 7 of 8 of LateOrderResponseTest fail ([OTHER_TARGET, OTHER_TARGET], [DONE, DONE], [STALE, STALE]); with it all pass. The eighth shows that different responses on one connection count. In PlatformLeasesTest the release and the grant that another service rejects go to a stand-in each, since a second, equal rejection on one connection proves nothing now; both outcomes are checked as before. The stand-in's handovers name the range, as no two releases return the same. A copy of a grant's 200 still passes for that of another grant: both look alike, and it shows no more than a lease that may be missing.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
@@ -140,15 +140,15 @@
 
   /** Returns the response to a request that did not run. */
   static String rejection(int status, String id) {
-    return rejection(status + " Rejected\r\nX-Attempt-Id: " + id);
+    return notExecuted(status + " Rejected\r\nX-Attempt-Id: " + id);
   }
 
   /** Returns a rejection that does not name its request. */
   static String rejectionWithoutId(int status) {
-    return rejection(status + " Rejected");
+    return notExecuted(status + " Rejected");
   }
 
-  private static String rejection(String start) {
+  private static String notExecuted(String start) {
     return "HTTP/1.1 " + start + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
   }
 
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/BoundedHttpClient.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/BoundedHttpClient.java
@@ -6,6 +6,7 @@
 import java.net.ConnectException;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -15,6 +16,7 @@
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.io.ClientConnector;
@@ -36,6 +38,7 @@
   private static final long IDLE_TIMEOUT_MS = 30_000;
 
   private final HttpClient client;
+  private final EarlierResponses earlierResponses = new EarlierResponses();
 
   /**
    * Creates a client without starting it.
@@ -131,30 +134,30 @@
   }
 
   /**
-   * Makes a call with headers and a body, unless a check immediately before its first byte is sent
-   * forbids it: opening the connection may have taken long.
+   * Makes a call that is sent, and whose response counts, only under the conditions of the call. A
+   * response that does not count closes the connection, and the call ends as BROKEN.
    *
-   * @param method the HTTP method; not null
-   * @param url the URL; not null
-   * @param headers additional headers by name; not null
-   * @param contentType the media type of the body; not null
-   * @param body the body; not null
-   * @param timeoutMs timeout of the whole call; milliseconds
-   * @param mayBegin returns whether the call may still be sent; called on a thread of the client;
-   *     not null
+   * @param call what to send and under which conditions; not null
    * @return never null
    */
-  public CompletableFuture<HttpCallResult> callIf(
-      String method,
-      String url,
-      Map<String, String> headers,
-      String contentType,
-      byte[] body,
-      long timeoutMs,
-      BooleanSupplier mayBegin) {
-    Request request = newRequest(method, url, headers, contentType, body);
-    request.onRequestBegin(begun -> abortUnless(begun, mayBegin));
-    return send(request, timeoutMs);
+  public CompletableFuture<HttpCallResult> call(GuardedCall call) {
+    Request request =
+        newRequest(call.method(), call.url(), call.headers(), call.contentType(), call.body());
+    request.onRequestBegin(begun -> abortUnless(begun, () -> maySend(call, begun)));
+    request.onResponseHeaders(response -> abortUnlessExpected(response, call.responseCheck()));
+    return send(request, call.timeoutMs());
+  }
+
+  private static boolean maySend(GuardedCall call, Request request) {
+    return (!call.knownConnectionOnly() || isOnKnownConnection(request))
+        && call.mayBegin().getAsBoolean();
+  }
+
+  private void abortUnlessExpected(Response response, ResponseCheck check) {
+    Set<Object> earlier = earlierResponses.of(response.getRequest().getConnection());
+    if (!check.isExpected(response.getStatus(), response.getHeaders(), earlier)) {
+      response.abort(new UnexpectedResponseException());
+    }
   }
 
   private static void abortUnless(Request request, BooleanSupplier mayBegin) {
@@ -169,34 +172,6 @@
     }
   }
 
-  /**
-   * Makes a call as {@link #callIf} does, but only over a connection on which an earlier call has
-   * received a response. If there is none, nothing is sent.
-   *
-   * @param method the HTTP method; not null
-   * @param url the URL; not null
-   * @param headers additional headers by name; not null
-   * @param contentType the media type of the body; not null
-   * @param body the body; not null
-   * @param timeoutMs timeout of the whole call; milliseconds
-   * @param mayBegin returns whether the call may still be sent; called on a thread of the client;
-   *     not null
-   * @return never null
-   */
-  public CompletableFuture<HttpCallResult> callOverKnownConnection(
-      String method,
-      String url,
-      Map<String, String> headers,
-      String contentType,
-      byte[] body,
-      long timeoutMs,
-      BooleanSupplier mayBegin) {
-    Request request = newRequest(method, url, headers, contentType, body);
-    request.onRequestBegin(
-        begun -> abortUnless(begun, () -> isOnKnownConnection(begun) && mayBegin.getAsBoolean()));
-    return send(request, timeoutMs);
-  }
-
   private static boolean isOnKnownConnection(Request request) {
     return request.getConnection() instanceof org.eclipse.jetty.io.Connection used
         && used.getMessagesIn() > 0;
@@ -283,4 +258,14 @@
       super("request aborted before its first byte was sent", null, false, false);
     }
   }
+
+  /** Aborts a call whose connection brought a response that may belong to an earlier call. */
+  private static final class UnexpectedResponseException extends RuntimeException {
+
+    private static final long serialVersionUID = 1;
+
+    UnexpectedResponseException() {
+      super("the response may belong to an earlier call", null, false, false);
+    }
+  }
 }
--- a/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/BoundedHttpClientTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/BoundedHttpClientTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -105,8 +106,44 @@
 
   private CompletableFuture<HttpCallResult> callOverKnownConnection() {
     String url = "http://127.0.0.1:" + server.getLocalPort() + "/known";
-    return client.callOverKnownConnection(
-        "POST", url, Map.of(), "text/plain", new byte[0], CALL_TIMEOUT_MS, () -> true);
+    return client.call(guarded(url, true, () -> true, ResponseCheck.NONE));
+  }
+
+  private static GuardedCall guarded(
+      String url, boolean knownConnectionOnly, BooleanSupplier mayBegin, ResponseCheck check) {
+    return new GuardedCall(
+        "POST",
+        url,
+        Map.of(),
+        "text/plain",
+        new byte[0],
+        CALL_TIMEOUT_MS,
+        knownConnectionOnly,
+        mayBegin,
+        check);
+  }
+
+  /** Guards against a connection that stays in use although a response on it was not expected. */
+  @Test
+  void unexpectedResponsesCloseTheirConnection() throws IOException {
+    String url = "http://127.0.0.1:" + server.getLocalPort() + "/order";
+    ResponseCheck oncePerConnection = (status, headers, earlier) -> earlier.add(status);
+    GuardedCall order = guarded(url, false, () -> true, oncePerConnection);
+    CompletableFuture<HttpCallResult> first = client.call(order);
+    try (Socket connection = accept()) {
+      connection.getOutputStream().write(RESPONSE);
+      assertThat(first.join().kind()).isEqualTo(HttpCallResult.Kind.ANSWERED);
+      CompletableFuture<HttpCallResult> second = client.call(order);
+      readHead(connection);
+      connection.getOutputStream().write(RESPONSE);
+      assertThat(second.join().kind()).isEqualTo(HttpCallResult.Kind.BROKEN);
+      awaitEnd(connection.getInputStream());
+    }
+    CompletableFuture<HttpCallResult> third = client.call(order);
+    try (Socket connection = accept()) {
+      connection.getOutputStream().write(RESPONSE);
+      assertThat(third.join().kind()).isEqualTo(HttpCallResult.Kind.ANSWERED);
+    }
   }
 
   /** Guards against sending an order that was forbidden while its connection was being opened. */
@@ -114,8 +151,7 @@
   void callsForbiddenWhenConnectedAreNotSent() throws IOException {
     String url = "http://127.0.0.1:" + server.getLocalPort() + "/late";
     CompletableFuture<HttpCallResult> withheld =
-        client.callIf(
-            "POST", url, Map.of(), "text/plain", new byte[0], CALL_TIMEOUT_MS, () -> false);
+        client.call(guarded(url, false, () -> false, ResponseCheck.NONE));
     try (Socket connection = server.accept()) {
       assertThat(withheld.join().kind()).isEqualTo(HttpCallResult.Kind.NOT_SENT);
       assertThat(firstByteOf(connection)).isEqualTo(-1);
