Have targets name the attempt that they answer, also for cuminvalve-router

Cause: on the product's own protocol an answer named nothing. A copy of an earlier answer on the connection passed for the one that was awaited: a caller got the answer to the request of another one, a payout that ran was reported NOT_RUN, and a shard passed for revoked while work on it went on. Change: each attempt and each order carries Cuminvalve-Attempt-Id, another one each time, and targets repeat it. An answer that names another attempt closes its connection, is not relayed and proves nothing. Retries need no connection of their own here, since the protocol is ours and attempts have ids of their own. The stand-in repeats it.

--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/HttpTargetControl.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/HttpTargetControl.java
@@ -7,12 +7,16 @@
 import io.cuminvalve.core.id.Incarnation;
 import io.cuminvalve.core.id.RequestId;
 import io.cuminvalve.ports.http.BoundedHttpClient;
+import io.cuminvalve.ports.http.GuardedCall;
 import io.cuminvalve.ports.http.HttpCallResult;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Map;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Client of the control interface of targets over HTTP, as specified in docs/PROTOCOLS.md.
@@ -21,6 +25,9 @@
  */
 public final class HttpTargetControl implements TargetControl {
 
+  /** The request header that identifies an order; a target repeats it in the response. */
+  public static final String ATTEMPT_HEADER = "Cuminvalve-Attempt-Id";
+
   /** The response header that carries the target's clock. */
   public static final String CLOCK_HEADER = "Cuminvalve-Target-Clock";
 
@@ -75,10 +82,25 @@
 
   private CompletableFuture<TargetReply> post(
       String address, String path, ObjectNode body, long callTimeoutMs) {
-    byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-    return httpClient
-        .call("POST", url(address, path), JSON_TYPE, bytes, callTimeoutMs)
-        .thenApply(HttpTargetControl::toReply);
+    String attemptId = UUID.randomUUID().toString();
+    GuardedCall call =
+        new GuardedCall(
+            "POST",
+            url(address, path),
+            Map.of(ATTEMPT_HEADER, attemptId),
+            JSON_TYPE,
+            body.toString().getBytes(StandardCharsets.UTF_8),
+            callTimeoutMs,
+            false,
+            () -> true,
+            (status, headers, earlier) -> isFor(attemptId, headers));
+    return httpClient.call(call).thenApply(HttpTargetControl::toReply);
+  }
+
+  /** Targets that never respond late may leave the id out. */
+  private static boolean isFor(String attemptId, HttpFields headers) {
+    String repeatedId = headers.get(ATTEMPT_HEADER);
+    return repeatedId == null || repeatedId.equals(attemptId);
   }
 
   private static String url(String address, String path) {
--- a/cuminvalve-ports/src/test/java/io/cuminvalve/ports/target/HttpTargetControlTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/target/HttpTargetControlTest.java
@@ -66,6 +66,15 @@
     assertThat(server.nextRequest()).endsWith("{\"shards\":[3],\"tokens\":[6],\"drain\":true}");
   }
 
+  /** Guards against a shard that passes for revoked by a late response to an earlier order. */
+  @Test
+  void responsesThatNameAnotherOrderDoNotCount() throws Exception {
+    server.respond(200, HEADERS + "Cuminvalve-Attempt-Id: another\r\n", "");
+    TargetReply reply = get(control.revoke(server.address(), new int[] {3}, new long[] {6}, true));
+    assertThat(reply.outcome()).isEqualTo(TargetOutcome.NO_ANSWER);
+    assertThat(server.nextRequest()).contains("Cuminvalve-Attempt-Id: ");
+  }
+
   @Test
   void refusedConnectionIsDistinguishedFromNoAnswer() throws Exception {
     RequestId request = new RequestId("r-1");
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerExchange.java
@@ -174,7 +174,7 @@
   private void dispatch(int number) {
     trail.shard(slot.shard());
     step(StepKind.ADMITTED, "");
-    attempt = new TargetAttempt(services, context, slot, body, new Attempt(number));
+    attempt = new TargetAttempt(services, context, number, slot, body, new Attempt(number));
     Request request = call.request();
     HttpFields headers = CallerHeaders.passedOn(request.getHeaders());
     attempt.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers);
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/TargetAttempt.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/TargetAttempt.java
@@ -39,6 +39,7 @@
 
   private final ExchangeServices services;
   private final RequestContext context;
+  private final String attemptId;
   private final Slot slot;
   private final RequestBody body;
   private final Events events;
@@ -52,11 +53,13 @@
   TargetAttempt(
       ExchangeServices services,
       RequestContext context,
+      int number,
       Slot slot,
       RequestBody body,
       Events events) {
     this.services = services;
     this.context = context;
+    this.attemptId = context.id().value() + "." + number;
     this.slot = slot;
     this.body = body;
     this.events = events;
@@ -103,6 +106,7 @@
       return false;
     }
     headers.put(TargetHeaders.REQUEST_ID, context.id().value());
+    headers.put(TargetHeaders.ATTEMPT_ID, attemptId);
     headers.put(TargetHeaders.TIMEOUT_MS, remainingMs);
     if (!events.mayHandOver()) {
       return false;
@@ -114,6 +118,13 @@
 
   @Override
   public void onAnswer(TargetAnswer received) {
+    if (!isForThisAttempt(received)) {
+      exchange.abandon("the response belongs to another attempt");
+      if (!cancelled) {
+        events.onCut(new ForeignAnswerException());
+      }
+      return;
+    }
     slot.target().onAnswer(received.headers(), sentAtMs);
     TargetRefusal refusal = TargetRefusal.ofHeader(received.headers().get(TargetHeaders.REFUSAL));
     answer = received;
@@ -125,6 +136,12 @@
     events.onRefused(refusal);
   }
 
+  /** Targets that never respond late may leave the id out. */
+  private boolean isForThisAttempt(TargetAnswer received) {
+    String repeatedId = received.headers().get(TargetHeaders.ATTEMPT_ID);
+    return repeatedId == null || repeatedId.equals(attemptId);
+  }
+
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     if (cause instanceof ConnectException) {
--- a/cuminvalve-testkit/src/main/java/io/cuminvalve/testkit/target/TargetHeaders.java
+++ b/cuminvalve-testkit/src/main/java/io/cuminvalve/testkit/target/TargetHeaders.java
@@ -10,6 +10,9 @@
   /** Identifies a request. */
   public static final String REQUEST_ID = "Cuminvalve-Request-Id";
 
+  /** Identifies one attempt or order; repeated in the response. */
+  public static final String ATTEMPT_ID = "Cuminvalve-Attempt-Id";
+
   /** The shard of the request's key. */
   public static final String SHARD = "Cuminvalve-Shard";
 
--- a/cuminvalve-testkit/src/main/java/io/cuminvalve/testkit/target/TargetStandIn.java
+++ b/cuminvalve-testkit/src/main/java/io/cuminvalve/testkit/target/TargetStandIn.java
@@ -145,6 +145,10 @@
         () -> {
           exchange.put(TargetHeaders.TARGET_CLOCK, clock.nowMs());
           exchange.put(TargetHeaders.INCARNATION, incarnation);
+          String attemptId = exchange.header(TargetHeaders.ATTEMPT_ID);
+          if (attemptId != null) {
+            exchange.put(TargetHeaders.ATTEMPT_ID, attemptId);
+          }
           serve(current, exchange);
         });
   }
