Close the connection if a response check itself fails

Cause: the client library ignores exceptions of a header listener, so a check that throws would have let the response count. Conclusion: no behaviour changed otherwise.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -126,12 +126,6 @@
             0,
             List.of(new WeightedService(SERVICE, 1)),
             3);
-    RoutingConfiguration configuration =
-        new RoutingConfiguration(
-            1,
-            List.of(route),
-            List.of(new ServiceProfile(SERVICE, false, 1_000)),
-            new CallerBounds(8_192, 1L << 20, 10_000, 60_000));
     FleetTarget registered =
         new FleetTarget(
             new TargetId("files-1"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
@@ -142,10 +136,20 @@
     state.watch(this::upper, () -> 1_900, () -> true);
     state.update(
         snapshot ->
-            snapshot.withTargets(List.of(registered, other)).withConfiguration(configuration));
+            snapshot
+                .withTargets(List.of(registered, other))
+                .withConfiguration(configuration(route, false)));
     return this;
   }
 
+  private static RoutingConfiguration configuration(Route route, boolean keyed) {
+    return new RoutingConfiguration(
+        1,
+        List.of(route),
+        List.of(new ServiceProfile(SERVICE, keyed, 1_000)),
+        new CallerBounds(8_192, 1L << 20, 10_000, 60_000));
+  }
+
   /** Installs a route for requests that must not run twice, whose keys all belong to one target. */
   StallableGateway configureKeyed() {
     Route route =
@@ -159,12 +163,6 @@
             0,
             List.of(new WeightedService(SERVICE, 1)),
             3);
-    RoutingConfiguration configuration =
-        new RoutingConfiguration(
-            1,
-            List.of(route),
-            List.of(new ServiceProfile(SERVICE, true, 1_000)),
-            new CallerBounds(8_192, 1L << 20, 10_000, 60_000));
     TargetId owner = new TargetId("bookings-1");
     FleetTarget registered =
         new FleetTarget(owner, SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
@@ -175,7 +173,7 @@
             snapshot
                 .withTargets(List.of(registered))
                 .withOwners(Map.of(SERVICE, owners), new OwnersVersion(1, 1))
-                .withConfiguration(configuration));
+                .withConfiguration(configuration(route, true)));
     return this;
   }
 
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/BoundedHttpClient.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/BoundedHttpClient.java
@@ -154,9 +154,15 @@
   }
 
   private void abortUnlessExpected(Response response, ResponseCheck check) {
-    Set<Object> earlier = earlierResponses.of(response.getRequest().getConnection());
-    if (!check.isExpected(response.getStatus(), response.getHeaders(), earlier)) {
-      response.abort(new UnexpectedResponseException());
+    try {
+      Set<Object> earlier = earlierResponses.of(response.getRequest().getConnection());
+      if (!check.isExpected(response.getStatus(), response.getHeaders(), earlier)) {
+        response.abort(new UnexpectedResponseException());
+      }
+    } catch (Throwable broken) {
+      // Jetty ignores exceptions of this listener and would deliver the response.
+      response.abort(broken);
+      throw broken;
     }
   }
 
