--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/ResponseCheck.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/ResponseCheck.java
@@ -15,9 +15,6 @@
 @FunctionalInterface
 public interface ResponseCheck {
 
-  /** Accepts every response. */
-  ResponseCheck NONE = (status, headers, earlier) -> true;
-
   /**
    * Checks a response as soon as its headers have been read.
    *
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/HttpTargetControl.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/target/HttpTargetControl.java
@@ -16,7 +16,6 @@
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
-import org.eclipse.jetty.http.HttpFields;
 
 /**
  * Client of the control interface of targets over HTTP, as specified in docs/PROTOCOLS.md.
@@ -25,9 +24,6 @@
  */
 public final class HttpTargetControl implements TargetControl {
 
-  /** The request header that identifies an order; a target repeats it in the response. */
-  public static final String ATTEMPT_HEADER = "Cuminvalve-Attempt-Id";
-
   /** The response header that carries the target's clock. */
   public static final String CLOCK_HEADER = "Cuminvalve-Target-Clock";
 
@@ -87,22 +83,16 @@
         new GuardedCall(
             "POST",
             url(address, path),
-            Map.of(ATTEMPT_HEADER, attemptId),
+            Map.of(AttemptIdHeader.NAME, attemptId),
             JSON_TYPE,
             body.toString().getBytes(StandardCharsets.UTF_8),
             callTimeoutMs,
             false,
             () -> true,
-            (status, headers, earlier) -> isFor(attemptId, headers));
+            (status, headers, earlier) -> AttemptIdHeader.allows(headers, attemptId));
     return httpClient.call(call).thenApply(HttpTargetControl::toReply);
   }
 
-  /** Targets that never respond late may leave the id out. */
-  private static boolean isFor(String attemptId, HttpFields headers) {
-    String repeatedId = headers.get(ATTEMPT_HEADER);
-    return repeatedId == null || repeatedId.equals(attemptId);
-  }
-
   private static String url(String address, String path) {
     return "http://" + address + BASE + path;
   }
--- a/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/BoundedHttpClientTest.java
+++ b/cuminvalve-ports/src/test/java/io/cuminvalve/ports/http/BoundedHttpClientTest.java
@@ -33,6 +33,8 @@
   private static final byte[] RESPONSE =
       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".getBytes(StandardCharsets.US_ASCII);
 
+  private static final ResponseCheck ANY_RESPONSE = (status, headers, earlier) -> true;
+
   private final BoundedHttpClient client = new BoundedHttpClient("test", 5_000, IDLE_TIMEOUT_MS);
   private ServerSocket server;
 
@@ -106,7 +108,7 @@
 
   private CompletableFuture<HttpCallResult> callOverKnownConnection() {
     String url = "http://127.0.0.1:" + server.getLocalPort() + "/known";
-    return client.call(guarded(url, true, () -> true, ResponseCheck.NONE));
+    return client.call(guarded(url, true, () -> true, ANY_RESPONSE));
   }
 
   private static GuardedCall guarded(
@@ -151,7 +153,7 @@
   void callsForbiddenWhenConnectedAreNotSent() throws IOException {
     String url = "http://127.0.0.1:" + server.getLocalPort() + "/late";
     CompletableFuture<HttpCallResult> withheld =
-        client.call(guarded(url, false, () -> false, ResponseCheck.NONE));
+        client.call(guarded(url, false, () -> false, ANY_RESPONSE));
     try (Socket connection = server.accept()) {
       assertThat(withheld.join().kind()).isEqualTo(HttpCallResult.Kind.NOT_SENT);
       assertThat(firstByteOf(connection)).isEqualTo(-1);
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/TargetAttempt.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/TargetAttempt.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.id.RequestId;
 import io.cuminvalve.core.verdict.TargetRefusal;
+import io.cuminvalve.ports.target.AttemptIdHeader;
 import io.cuminvalve.router.request.RequestContext;
 import io.cuminvalve.router.request.Slot;
 import io.cuminvalve.router.target.TargetAnswer;
@@ -106,7 +107,7 @@
       return false;
     }
     headers.put(TargetHeaders.REQUEST_ID, context.id().value());
-    headers.put(TargetHeaders.ATTEMPT_ID, attemptId);
+    headers.put(AttemptIdHeader.NAME, attemptId);
     headers.put(TargetHeaders.TIMEOUT_MS, remainingMs);
     if (!events.mayHandOver()) {
       return false;
@@ -118,7 +119,7 @@
 
   @Override
   public void onAnswer(TargetAnswer received) {
-    if (!isForThisAttempt(received)) {
+    if (!AttemptIdHeader.allows(received.headers(), attemptId)) {
       exchange.abandon("the response belongs to another attempt");
       if (!cancelled) {
         events.onCut(new ForeignAnswerException());
@@ -136,12 +137,6 @@
     events.onRefused(refusal);
   }
 
-  /** Targets that never respond late may leave the id out. */
-  private boolean isForThisAttempt(TargetAnswer received) {
-    String repeatedId = received.headers().get(TargetHeaders.ATTEMPT_ID);
-    return repeatedId == null || repeatedId.equals(attemptId);
-  }
-
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     if (cause instanceof ConnectException) {
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -27,10 +27,9 @@
  * round, no resend on a connection that turned out to be closed. It keeps no cookies and decodes no
  * content.
  *
- * <p>Attempts of one request at one address never share a connection: the n-th attempts of all
- * requests have a pool of their own. All attempts carry the same identifier, so on a shared
- * connection a late copy of the answer to an earlier attempt would pass for the answer to a later
- * one.
+ * <p>Attempts with the same identifier at one address never share a connection, on which a late
+ * copy of the answer to one would pass for the answer to another: all first attempts share a pool,
+ * all second ones share another, and so on.
  *
  * @since 0.1
  */
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetHeaders.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetHeaders.java
@@ -10,9 +10,6 @@
   /** The identifier of the request. */
   public static final String REQUEST_ID = "Cuminvalve-Request-Id";
 
-  /** The identifier of one attempt or order; a target repeats it in the response. */
-  public static final String ATTEMPT_ID = "Cuminvalve-Attempt-Id";
-
   /** The shard of the request's key. */
   public static final String SHARD = "Cuminvalve-Shard";
 
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetRequest.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetRequest.java
@@ -12,8 +12,8 @@
  * @param pathAndQuery the path with the query, as the caller sent it; not null
  * @param headers the header fields to send, without hop-by-hop fields; not null
  * @param body the body; null if there is none
- * @param earlierAttempts how many attempts of the same request this router has made at this address
- *     before; at least 0
+ * @param earlierAttempts how many attempts with the same identifier were made at this address
+ *     before; attempts with different numbers never share a connection; at least 0
  * @since 0.1
  */
 public record TargetRequest(
@@ -24,7 +24,7 @@
     Request.Content body,
     int earlierAttempts) {
 
-  /** Creates the first attempt of a request at an address. */
+  /** Creates an attempt whose identifier no earlier attempt had. */
   public TargetRequest(
       InetSocketAddress address,
       String method,
--- a/cuminvalve-router/src/test/java/io/cuminvalve/router/caller/LateAnswerTest.java
+++ b/cuminvalve-router/src/test/java/io/cuminvalve/router/caller/LateAnswerTest.java
@@ -4,8 +4,8 @@
 
 import io.cuminvalve.core.request.RetryPolicy;
 import io.cuminvalve.core.request.SlotUse;
+import io.cuminvalve.ports.target.AttemptIdHeader;
 import io.cuminvalve.router.caller.RawCaller.Answer;
-import io.cuminvalve.router.target.TargetHeaders;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -72,9 +72,9 @@
   }
 
   private static String rest(String head, String body) {
-    return TargetHeaders.ATTEMPT_ID
+    return AttemptIdHeader.NAME
         + ": "
-        + Http.header(head, TargetHeaders.ATTEMPT_ID).orElse("none")
+        + Http.header(head, AttemptIdHeader.NAME).orElse("none")
         + "\r\nContent-Length: "
         + body.length()
         + "\r\n\r\n"
