Evacuate data centres, and limit requests to cold targets

Cause: nobody read the operators' entries that evacuate a data centre, so its targets went on getting requests.

Change: the configuration and the evacuations lie below one directory of the store and are followed as one value, by the same watch, so that no call is added. EvacuationTracker puts them into the routing state, the last check before the first byte has the condition data_centre_open, and the holder moves keys away over one second, busiest first, while their owners still serve them for the bound less 3 s. With all data centres of a service evacuated its requests are rejected at once. A cold target (by its registration, or after an evacuation of its data centre) has a limit that ends by itself. Permits of the holder keep it, as for targets that announce one; the rate is chosen so that the worst second stays within the bound whether gateways reach the holder or not.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
@@ -45,6 +45,7 @@
   private static final String RESTING = "target_resting";
 
   private static final String STUCK_KEY = "key_stuck";
+  private static final String EVACUATED = "service_evacuated";
 
   private final ExchangeProfile profile;
   private final BooleanSupplier retryBudget;
@@ -145,6 +146,16 @@
     return done ? List.of() : end(STUCK_KEY, retryAfterMs);
   }
 
+  /**
+   * Handles a service all of whose targets are in evacuated data centres.
+   *
+   * @param retryAfterMs delay after which a retry may succeed; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onServiceEvacuated(long retryAfterMs) {
+    return done ? List.of() : end(EVACUATED, retryAfterMs);
+  }
+
   /**
    * Handles a complete answer of the target, which proves that the request ran.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/FleetTarget.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/FleetTarget.java
@@ -50,7 +50,7 @@
    * Returns whether another registration is equivalent for routing.
    *
    * @param other the other registration; may be null
-   * @return true if at most the remaining warm-up time differs
+   * @return true if at most the remaining warm-up time differs and it is not longer than the other
    */
   public boolean hasSameRouting(FleetTarget other) {
     return other != null
@@ -59,6 +59,7 @@
         && address.equals(other.address)
         && dataCentre.equals(other.dataCentre)
         && slots == other.slots
-        && phase == other.phase;
+        && phase == other.phase
+        && coldMs <= other.coldMs;
   }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendCondition.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendCondition.java
@@ -39,6 +39,12 @@
   /** The target is registered, accepts requests and has not announced that it leaves. */
   TARGET_SERVES(REQUEST),
 
+  /**
+   * The data centre of the target is not evacuated, or the target owns the key and the time in
+   * which keys move has not ended.
+   */
+  DATA_CENTRE_OPEN(REQUEST),
+
   /** The target has not asked this gateway to pause requests. */
   TARGET_RESTED(REQUEST),
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -73,6 +73,7 @@
   public Gateway(
       GatewaySettings settings, SharedKey sharedKey, Function<StoreCallGuard, GatewayPorts> ports) {
     this.settings = settings;
+    state.setEvacuationGraceMs(settings.evacuationGraceMs());
     StoreCircuitBreaker circuitBreaker =
         new StoreCircuitBreaker(clock, storeCalls, new SplittableRandom(), this::maxStoreBackoffMs);
     GatewayPorts guarded = ports.apply(circuitBreaker);
@@ -111,6 +112,10 @@
         () -> fleet.configurationAgeMs() / MS_PER_SECOND);
     metricsPage.addGauge(
         "cuminvalve_targets", "Targets known.", () -> state.current().targets().size());
+    metricsPage.addGauge(
+        "cuminvalve_evacuated_data_centres",
+        "Data centres whose targets get no requests, since operators have evacuated them.",
+        () -> state.current().evacuations().dataCentres().size());
     metricsPage.addGauge(
         "cuminvalve_targets_age_seconds",
         "How old the newest confirmation of the targets is.",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway;
 
 import io.cuminvalve.core.lease.LeaseTimings;
+import io.cuminvalve.core.quota.ColdBound;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -22,6 +23,9 @@
  *     they try to acquire a vacant term
  * @param firstStart whether the whole fleet starts for the first time, without earlier state
  * @param leases the timings of leases at targets; not null
+ * @param evacuationGraceMs for how long owners of keys in an evacuated data centre continue to get
+ *     requests while their keys move; milliseconds
+ * @param coldBound the bound on requests to cold targets; not null
  * @param repeatShare the number of retries permitted per request; 0 to 1
  * @param repeatsPerFleet the number of additional retries that all gateways together may send per
  *     window
@@ -47,6 +51,8 @@
     double processorCores,
     boolean firstStart,
     LeaseTimings leases,
+    long evacuationGraceMs,
+    ColdBound coldBound,
     double repeatShare,
     double repeatsPerFleet,
     long repeatWindowMs,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ConfigurationWatch.java
@@ -19,6 +19,9 @@
 /**
  * Keeps the newest configuration in force and never replaces it by an older one.
  *
+ * <p>Operators write it together with the evacuated data centres, which {@link EvacuationTracker}
+ * applies. Both are followed as one value.
+ *
  * <p>The holder of the term and its deputies watch the store. They confirm to every other gateway
  * that its configuration is current, or send it the newer one. If a configuration cannot be
  * decoded, the previous one stays in force. All methods run on the control thread.
@@ -49,6 +52,7 @@
   private final DecisionLog log;
   private final KeyFollower follower;
   private final Consumer<StoreValue> onInForce;
+  private final EvacuationTracker evacuations;
   private boolean storeAvailable = true;
   private Optional<StoreValue> newest = Optional.empty();
 
@@ -79,6 +83,7 @@
     this.clock = clock;
     this.log = log;
     this.onInForce = onInForce;
+    this.evacuations = new EvacuationTracker(ports.evacuationDecoder(), state, control, clock, log);
     this.follower =
         new KeyFollower(
             ports.store(),
@@ -167,6 +172,11 @@
     install(value);
   }
 
+  /** Handles a store that was restored from an older copy and may have lost evacuations. */
+  public void onStoreRestored() {
+    evacuations.onStoreRestored();
+  }
+
   /**
    * Returns the configuration to send to a gateway that should have it by now.
    *
@@ -180,6 +190,7 @@
   }
 
   private void install(StoreValue value) {
+    evacuations.onValue(value);
     RoutingConfiguration next;
     try {
       next = ports.configurationDecoder().apply(value.value());
@@ -192,7 +203,11 @@
       return;
     }
     long known = state.current().configuration().map(RoutingConfiguration::version).orElse(-1L);
-    if (next.version() <= known) {
+    boolean newer = next.version() > known;
+    boolean sameAgain =
+        next.version() == known
+            && newest.filter(stored -> stored.revision() >= value.revision()).isEmpty();
+    if (!newer && !sameAgain) {
       return;
     }
     newest = Optional.of(value);
@@ -200,8 +215,11 @@
     if (receivedMs.size() > MAX_TRACKED_REVISIONS) {
       receivedMs.pollFirstEntry();
     }
-    state.update(snapshot -> snapshot.withConfiguration(next));
-    log.write("configuration_in_force", "version={} revision={}", next.version(), value.revision());
+    if (newer) {
+      state.update(snapshot -> snapshot.withConfiguration(next));
+      log.write(
+          "configuration_in_force", "version={} revision={}", next.version(), value.revision());
+    }
     onInForce.accept(value);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -195,6 +195,7 @@
   private void onStoreCameBack() {
     log.write("store_came_back_older", "epoch={}", ports.store().epoch());
     storeRestored = true;
+    configuration.onStoreRestored();
     termLease.onStoreCameBack();
     coordinator.ifPresent(this::rewriteOwnership);
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -480,11 +480,25 @@
     confirmTargets(heartbeat, helloSent);
     configuration.onHeard(
         heartbeat.configurationRevision(), helloSent.minusMs(heartbeat.configurationAgeMs()));
+    sendMissedConfiguration(holder, heartbeat.configurationRevision());
     if (state.current().processes() != heartbeat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, heartbeat.processes())));
     }
   }
 
+  /**
+   * Sends the configuration to a holder that lacks it. A holder that has just started may not see
+   * in the store what was removed before, and its older revision would confirm nothing to others.
+   */
+  private void sendMissedConfiguration(PeerChannel holder, long knownRevision) {
+    if (deputies.mustFollowStore()) {
+      configuration
+          .missingFrom(knownRevision)
+          .ifPresent(
+              value -> holder.send(new ConfigurationUpdate(value.revision(), value.value())));
+    }
+  }
+
   /**
    * Confirms the known targets if this gateway has received every change that the holder has sent.
    * A gateway that follows the registry itself returns to the holder once the state of the holder
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -85,7 +85,7 @@
     List<FleetTarget> written = new ArrayList<>();
     for (FleetTarget target : now) {
       FleetTarget known = removed.remove(target.id());
-      if (!target.hasSameRouting(known)) {
+      if (!target.hasSameRouting(known) || isStillCold(target, known)) {
         written.add(target);
       }
     }
@@ -93,6 +93,11 @@
         term, before.version(), version, written, List.copyOf(removed.keySet()));
   }
 
+  /** Returns whether a target that was published as cold is cold, perhaps once more. */
+  private static boolean isStillCold(FleetTarget target, FleetTarget known) {
+    return known != null && known.coldMs() > 0 && target.coldMs() > 0;
+  }
+
   /**
    * Publishes the current owners decided by this process, the holder. Returns the message for the
    * other gateways: all owners at the start of a term, otherwise the difference.
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaCoordinator.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaCoordinator.java
@@ -77,6 +77,11 @@
     exchange.onHolderAndDeputies(holderAddress, deputies);
   }
 
+  /** Processes targets that have become cold; each gateway finds these by itself. */
+  void onCold() {
+    issuer.ifPresent(granting -> granting.setLimits(quotas.limits(), clock.nowMs()));
+  }
+
   /** Processes limits that this gateway saw begin, change or end. */
   void onSeen(List<TargetId> targets) {
     applyLimits(targets);
@@ -155,7 +160,12 @@
       return;
     }
     LimitReport limit = request.limit();
-    applyLimits(quotas.merge(List.of(limit)));
+    if (request.coldMs() > 0) {
+      quotas.onReportedCold(limit.target(), limit.perS(), request.coldMs());
+      onCold();
+    } else {
+      applyLimits(quotas.merge(List.of(limit)));
+    }
     QuotaIssuer granting = issuer.get();
     granting.setShare(peers.followers() + 1, fleetSize());
     granting
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/QuotaLink.java
@@ -42,6 +42,7 @@
 
   void start() {
     quotas.onLimit(targets -> control.execute(() -> coordinator.onSeen(targets)));
+    quotas.onCold(() -> control.execute(coordinator::onCold));
     quotas.onQuotaRequest(request -> control.execute(() -> coordinator.ask(request)));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServicePlanner.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServicePlanner.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.balance.BalancerSettings;
+import io.cuminvalve.core.balance.EvacuationPace;
 import io.cuminvalve.core.balance.HotKeyPlacement;
 import io.cuminvalve.core.balance.KeyLoads;
 import io.cuminvalve.core.balance.MovePlanner;
@@ -10,6 +11,7 @@
 import io.cuminvalve.core.balance.RangeMove;
 import io.cuminvalve.core.balance.RelativeLatencies;
 import io.cuminvalve.core.balance.TargetLoad;
+import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetRegister;
 import io.cuminvalve.core.id.ServiceId;
@@ -89,6 +91,7 @@
   private final RateLimitCapacity capacity;
   private final Set<TargetId> busyTargets = new HashSet<>();
   private final RangeDefragmenter defragmenter = new RangeDefragmenter();
+  private final EvacuationPace evacuationPace = new EvacuationPace();
   private final OverloadPolicy overloadPolicy = new OverloadPolicy();
   private final MovePlanner planner =
       new MovePlanner(new HotKeyPlacement(), new RangeBalancer(BalancerSettings.DEFAULT));
@@ -159,13 +162,20 @@
   /**
    * Decides which keys have to be moved.
    *
+   * @param evacuations data centres whose targets may own no keys, unless there are no others
    * @param storeAnswers whether a move can be written now. Its keys stay closed until it is
    *     written, so moves that only balance load wait until the store answers; during a store
    *     outage of 8 s this avoids a tenth of all refusals
    */
-  void plan(TargetRegister register, int gateways, boolean storeAnswers, long nowMs) {
+  void plan(
+      TargetRegister register,
+      Evacuations evacuations,
+      int gateways,
+      boolean storeAnswers,
+      long nowMs) {
     List<FleetTarget> ready = new ArrayList<>(register.of(service));
     ready.removeIf(target -> !target.isReady());
+    Set<TargetId> evacuated = removeEvacuated(ready, evacuations);
     if (ready.size() != lastTargetCount) {
       lastTargetCount = ready.size();
       targetsChangedMs = nowMs;
@@ -178,7 +188,7 @@
       return;
     }
     List<FleetTarget> usable = storeAnswers ? withoutResting(ready) : ready;
-    evacuate(usable, nowMs);
+    moveAwayFrom(evacuated, usable, storeAnswers, nowMs);
     if (nowMs - balancedMs >= BALANCE_INTERVAL_MS) {
       balancedMs = nowMs;
       loads.decay(nowMs);
@@ -225,11 +235,34 @@
     return 2 * reachable.size() >= ready.size() ? reachable : ready;
   }
 
-  /** Moves the keys of targets that leave, or have left, to the least loaded remaining targets. */
-  private void evacuate(List<FleetTarget> ready, long nowMs) {
-    Set<TargetId> usable = new HashSet<>();
-    ready.forEach(target -> usable.add(target.id()));
-    List<KeyRange> orphaned = leaseManager.rangesWithUnusableOwner(usable::contains);
+  private static Set<TargetId> removeEvacuated(List<FleetTarget> ready, Evacuations evacuations) {
+    Set<TargetId> evacuated = new HashSet<>();
+    for (FleetTarget target : ready) {
+      if (evacuations.includes(target.dataCentre())) {
+        evacuated.add(target.id());
+      }
+    }
+    ready.removeIf(target -> evacuated.contains(target.id()));
+    return evacuated;
+  }
+
+  /**
+   * Moves the keys of targets that leave or have left at once, and those of targets in evacuated
+   * data centres over a short time, during which these still serve them.
+   */
+  private void moveAwayFrom(
+      Set<TargetId> evacuated, List<FleetTarget> usable, boolean storeAnswers, long nowMs) {
+    Set<TargetId> owners = new HashSet<>(evacuated);
+    usable.forEach(target -> owners.add(target.id()));
+    evacuate(leaseManager.rangesWithUnusableOwner(owners::contains), usable, nowMs);
+    if (storeAnswers) {
+      List<KeyRange> left = leaseManager.rangesWithUnusableOwner(id -> !evacuated.contains(id));
+      evacuate(evacuationPace.due(left, loads, nowMs), usable, nowMs);
+    }
+  }
+
+  /** Moves keys to the least loaded targets. */
+  private void evacuate(List<KeyRange> orphaned, List<FleetTarget> ready, long nowMs) {
     if (orphaned.isEmpty()) {
       return;
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermCoordinator.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermCoordinator.java
@@ -413,7 +413,12 @@
     boolean outage = termLease.isOutage();
     boolean storeAnswers = !outage && !ownership.isWriting();
     for (ServicePlanner service : planners.values()) {
-      service.plan(follower.register(), state.current().processes(), storeAnswers, nowMs);
+      service.plan(
+          follower.register(),
+          state.current().evacuations(),
+          state.current().processes(),
+          storeAnswers,
+          nowMs);
     }
     planners.values().forEach(service -> service.leaseManager().setOutage(outage));
     renewStaleTokens();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -59,6 +59,9 @@
 
   private static final long MAX_STUCK_RETRY_MS = 5_000;
 
+  /** Retry delay while all targets of a service are in evacuated data centres. */
+  private static final long EVACUATED_RETRY_MS = 1_000;
+
   /** Requests wait for the end of a back-off of at most this length instead of being refused. */
   private static final long SHORT_BACKOFF_MS = 50;
 
@@ -159,7 +162,7 @@
     if (quotas.isLimited(range.get().owner())) {
       return "limit_unanswered";
     }
-    boolean usable = snapshot.target(range.get().owner()).filter(FleetTarget::isReady).isPresent();
+    boolean usable = snapshot.target(range.get().owner()).filter(this::isUsableOwner).isPresent();
     return usable ? "owner_busy" : "owner_leaving";
   }
 
@@ -305,14 +308,17 @@
         .filter(target -> quotas.take(target, request.route().priority()));
   }
 
-  private static Optional<FleetTarget> findReadyOwner(
-      SlotRequest request, RoutingSnapshot snapshot) {
+  private Optional<FleetTarget> findReadyOwner(SlotRequest request, RoutingSnapshot snapshot) {
     return snapshot
         .owners(request.service())
         .flatMap(owners -> owners.find(request.key().getAsInt()))
         .filter(RangeRoute::open)
         .flatMap(range -> snapshot.target(range.owner()))
-        .filter(FleetTarget::isReady);
+        .filter(this::isUsableOwner);
+  }
+
+  private boolean isUsableOwner(FleetTarget owner) {
+    return owner.isReady() && state.isDataCentreOpen(owner, true, clock.upper());
   }
 
   /**
@@ -325,7 +331,10 @@
             ? findReadyOwner(request, snapshot).stream().toList()
             : untriedTargets(request, snapshot);
     if (targets.isEmpty()) {
-      return refusalOfStuckKey(request, snapshot);
+      return snapshot
+          .firstOfEvacuatedService(request.service())
+          .map(target -> TargetRefusal.forEvacuation(target.id(), EVACUATED_RETRY_MS))
+          .or(() -> refusalOfStuckKey(request, snapshot));
     }
     int priority = request.route().priority();
     FleetTarget first = null;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -98,6 +98,10 @@
         logRefusal("request_key_stuck", refusal, "");
         decide(() -> machine.onStuckKey(refusal.retryAfterMs()));
       }
+      case EVACUATED -> {
+        logRefusal("request_evacuated", refusal, "");
+        decide(() -> machine.onServiceEvacuated(refusal.retryAfterMs()));
+      }
       default -> {
         logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
         decide(() -> machine.onLimited(refusal.retryAfterMs()));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -94,6 +94,7 @@
             address -> Integer.MAX_VALUE);
     KeyLoadMeter keyLoad = new KeyLoadMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
+    new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
     TargetDepartures departures = new TargetDepartures(state);
     Dispatcher dispatcher =
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -65,6 +65,7 @@
       case TIME_LEFT -> ConditionStatus.local(call.deadline().sinceMs(now) > 0, now);
       case TARGET_RUNS -> ConditionStatus.local(!services.dispatcher().isReplaced(target), now);
       case TARGET_SERVES -> targetServes(target);
+      case DATA_CENTRE_OPEN -> dataCentreOpen(now);
       case TARGET_RESTED ->
           ConditionStatus.local(services.backoffs().remainingMs(target) == 0, now);
       case LIMIT_KEPT -> limitKept(target, now);
@@ -88,6 +89,14 @@
     return ConditionStatus.heard(isServing, asOf, effectiveMaxAgeMs(TARGETS_MAX_AGE_MS));
   }
 
+  private ConditionStatus dataCentreOpen(UpperTime now) {
+    // Evacuations are confirmed together with the configuration; read before them.
+    UpperTime asOf = services.state().configurationConfirmed();
+    boolean open = services.state().isDataCentreOpen(slot.target(), call.key().isPresent(), now);
+    return ConditionStatus.heard(
+        open, asOf, effectiveMaxAgeMs(services.state().configurationMaxAgeMs()));
+  }
+
   private ConditionStatus limitKept(TargetId target, UpperTime now) {
     return services.quotas().isLimited(target)
         ? ConditionStatus.heard(true, slot.assignedAt(), PERMIT_MAX_AGE_MS)
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingSnapshot.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
@@ -21,6 +22,7 @@
 
   private final Optional<RoutingConfiguration> configuration;
   private final Set<TargetId> leaving;
+  private final Evacuations evacuations;
   private final Map<TargetId, FleetTarget> targets;
   private final Map<ServiceId, List<FleetTarget>> readyByService;
   private final Map<ServiceId, KeyOwners> owners;
@@ -30,6 +32,7 @@
   private RoutingSnapshot(
       Optional<RoutingConfiguration> configuration,
       Set<TargetId> leaving,
+      Evacuations evacuations,
       Map<TargetId, FleetTarget> targets,
       Map<ServiceId, List<FleetTarget>> readyByService,
       Map<ServiceId, KeyOwners> owners,
@@ -37,6 +40,7 @@
       int processes) {
     this.configuration = configuration;
     this.leaving = leaving;
+    this.evacuations = evacuations;
     this.targets = targets;
     this.readyByService = readyByService;
     this.owners = owners;
@@ -52,7 +56,14 @@
    */
   public static RoutingSnapshot initial(int processes) {
     return new RoutingSnapshot(
-        Optional.empty(), Set.of(), Map.of(), Map.of(), Map.of(), OwnersVersion.NONE, processes);
+        Optional.empty(),
+        Set.of(),
+        Evacuations.NONE,
+        Map.of(),
+        Map.of(),
+        Map.of(),
+        OwnersVersion.NONE,
+        processes);
   }
 
   /**
@@ -63,7 +74,14 @@
    */
   public RoutingSnapshot withConfiguration(RoutingConfiguration next) {
     return new RoutingSnapshot(
-        Optional.of(next), leaving, targets, readyByService, owners, ownersVersion, processes);
+        Optional.of(next),
+        leaving,
+        evacuations,
+        targets,
+        readyByService,
+        owners,
+        ownersVersion,
+        processes);
   }
 
   /**
@@ -73,7 +91,7 @@
    * @return never null
    */
   public RoutingSnapshot withTargets(List<FleetTarget> next) {
-    return with(next, leaving);
+    return with(next, leaving, evacuations);
   }
 
   /**
@@ -84,22 +102,33 @@
    * @return never null
    */
   public RoutingSnapshot withLeaving(Set<TargetId> next) {
-    return with(targets.values(), Set.copyOf(next));
+    return with(targets.values(), Set.copyOf(next), evacuations);
   }
 
-  private RoutingSnapshot with(Collection<FleetTarget> registered, Set<TargetId> nextLeaving) {
+  /**
+   * Returns a snapshot with other evacuated data centres.
+   *
+   * @param next the evacuations; not null
+   * @return never null
+   */
+  public RoutingSnapshot withEvacuations(Evacuations next) {
+    return with(targets.values(), leaving, next);
+  }
+
+  private RoutingSnapshot with(
+      Collection<FleetTarget> registered, Set<TargetId> nextLeaving, Evacuations nextEvacuations) {
     Map<TargetId, FleetTarget> byId = new HashMap<>();
     Map<ServiceId, List<FleetTarget>> ready = new HashMap<>();
     for (FleetTarget entry : registered) {
       boolean leaves = nextLeaving.contains(entry.id()) || isLeaving(entry.id());
       FleetTarget target = leaves ? entry.leaving() : entry;
       byId.put(target.id(), target);
-      if (target.isReady()) {
+      if (target.isReady() && !nextEvacuations.includes(target.dataCentre())) {
         ready.computeIfAbsent(target.service(), id -> new ArrayList<>()).add(target);
       }
     }
     return new RoutingSnapshot(
-        configuration, nextLeaving, byId, ready, owners, ownersVersion, processes);
+        configuration, nextLeaving, nextEvacuations, byId, ready, owners, ownersVersion, processes);
   }
 
   /** A run that left never becomes ready again; a source that says so is older. */
@@ -117,7 +146,14 @@
    */
   public RoutingSnapshot withOwners(Map<ServiceId, KeyOwners> next, OwnersVersion version) {
     return new RoutingSnapshot(
-        configuration, leaving, targets, readyByService, Map.copyOf(next), version, processes);
+        configuration,
+        leaving,
+        evacuations,
+        targets,
+        readyByService,
+        Map.copyOf(next),
+        version,
+        processes);
   }
 
   /**
@@ -128,7 +164,7 @@
    */
   public RoutingSnapshot withProcesses(int next) {
     return new RoutingSnapshot(
-        configuration, leaving, targets, readyByService, owners, ownersVersion, next);
+        configuration, leaving, evacuations, targets, readyByService, owners, ownersVersion, next);
   }
 
   /**
@@ -141,7 +177,16 @@
   }
 
   /**
-   * Returns the targets of a service that accept requests.
+   * Returns the evacuated data centres.
+   *
+   * @return never null
+   */
+  public Evacuations evacuations() {
+    return evacuations;
+  }
+
+  /**
+   * Returns the targets of a service that accept requests, without those in evacuated data centres.
    *
    * @param service the service; not null
    * @return never null
@@ -150,6 +195,21 @@
     return readyByService.getOrDefault(service, List.of());
   }
 
+  /**
+   * Finds a target of a service whose running targets are all in evacuated data centres.
+   *
+   * @param service the service; not null
+   * @return empty if a target elsewhere accepts requests, or none runs at all
+   */
+  public Optional<FleetTarget> firstOfEvacuatedService(ServiceId service) {
+    if (evacuations.dataCentres().isEmpty() || !ready(service).isEmpty()) {
+      return Optional.empty();
+    }
+    return targets.values().stream()
+        .filter(target -> target.service().equals(service) && target.isReady())
+        .findFirst();
+  }
+
   /**
    * Finds a target.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import java.util.OptionalLong;
@@ -19,6 +20,7 @@
   private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
   private volatile RoutingSnapshot snapshot;
   private volatile UpperTime targetsConfirmed = UpperTime.NEVER;
+  private volatile long evacuationGraceMs;
   private volatile OptionalLong movesBlockedSinceMs = OptionalLong.empty();
   private volatile Supplier<UpperTime> configurationConfirmed = () -> UpperTime.NEVER;
   private volatile LongSupplier configurationMaxAgeMs = () -> 0;
@@ -52,6 +54,28 @@
     listeners.forEach(Runnable::run);
   }
 
+  /**
+   * Sets for how long the owners of keys in an evacuated data centre continue to get requests.
+   *
+   * @param graceMs counted from when this process learned of the evacuation; milliseconds
+   */
+  public void setEvacuationGraceMs(long graceMs) {
+    evacuationGraceMs = graceMs;
+  }
+
+  /**
+   * Returns whether a target may get a request as far as evacuations are concerned.
+   *
+   * @param target the target; not null
+   * @param ownsKey whether it is the owner of the request's key
+   * @param now the current time; not null
+   * @return false if its data centre is evacuated
+   */
+  public boolean isDataCentreOpen(FleetTarget target, boolean ownsKey, UpperTime now) {
+    long graceMs = ownsKey ? evacuationGraceMs : -1;
+    return snapshot.evacuations().permitsOwner(target.dataCentre(), now, graceMs);
+  }
+
   /**
    * Records that the known targets matched the registry at the given time.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.QuotaReply;
 import io.cuminvalve.core.protocol.QuotaRequest;
+import io.cuminvalve.core.quota.ColdTargets;
 import io.cuminvalve.core.quota.LimitReport;
 import io.cuminvalve.core.quota.LocalQuota;
 import io.cuminvalve.core.quota.TargetLimitTracker;
@@ -24,8 +25,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Tracks the rate limits that targets announce in their responses, and this gateway's share of
- * them.
+ * Tracks the rate limits that targets announce in their responses or have while they are cold, and
+ * this gateway's share of them.
  *
  * <p>Thread-safe. Listeners are called without holding the lock.
  *
@@ -44,10 +45,12 @@
   private final Timers timers;
   private final RandomGenerator random;
   private final TargetLimitTracker limitTracker = new TargetLimitTracker();
+  private final ColdTargets coldTargets = new ColdTargets();
   private final Map<TargetId, Quota> quotas = new HashMap<>();
   private int gateways = ASSUMED_GATEWAYS;
   private volatile boolean anyLimit;
   private volatile Consumer<List<TargetId>> onLimit = targets -> {};
+  private volatile Runnable onCold = () -> {};
   private volatile Consumer<QuotaRequest> onQuotaRequest = request -> {};
   private volatile Consumer<ServiceId> onUsable = service -> {};
 
@@ -67,6 +70,73 @@
     onLimit = listener;
   }
 
+  /**
+   * Sets the listener for targets that have become cold.
+   *
+   * @param listener called on any thread; must not block; not null
+   */
+  public void onCold(Runnable listener) {
+    onCold = listener;
+  }
+
+  /**
+   * Limits the requests to a target while it is cold, as if it had announced that limit.
+   *
+   * @param target the run of the target; not null
+   * @param service the service that it belongs to; not null
+   * @param perS requests per second from all gateways together; above 0
+   * @param coldMs for how long it is still cold; milliseconds
+   */
+  public void onCold(TargetId target, ServiceId service, double perS, long coldMs) {
+    boolean changes;
+    synchronized (this) {
+      long nowMs = clock.nowMs();
+      changes = coldTargets.onCold(target, perS, nowMs + coldMs, nowMs);
+      anyLimit |= changes;
+    }
+    if (changes) {
+      log.write("target_cold", "target={} limit_per_s={} for_ms={}", target, perS, coldMs);
+      onCold.run();
+      timers.schedule(() -> onWarm(service), coldMs + 1);
+    }
+  }
+
+  /**
+   * Limits the requests to a target that another gateway considers cold.
+   *
+   * @param target the run of the target; not null
+   * @param perS requests per second from all gateways together; above 0
+   * @param coldMs for how long it is still cold; milliseconds
+   */
+  public synchronized void onReportedCold(TargetId target, double perS, long coldMs) {
+    long nowMs = clock.nowMs();
+    anyLimit |= coldTargets.onCold(target, perS, nowMs + coldMs, nowMs);
+  }
+
+  /** Serves the requests that wait for quota of a target that is warm now. */
+  private void onWarm(ServiceId service) {
+    synchronized (this) {
+      removeEnded();
+    }
+    onUsable.accept(service);
+  }
+
+  private void removeEnded() {
+    coldTargets.removeEnded(clock.nowMs());
+    quotas.keySet().removeIf(target -> currentLimitOf(target).isEmpty());
+    anyLimit = !limitTracker.limits().isEmpty() || !coldTargets.isEmpty();
+  }
+
+  /** Returns the lower one of the limits that a target has announced or has while it is cold. */
+  private OptionalDouble currentLimitOf(TargetId target) {
+    OptionalDouble announced = limitTracker.limitOf(target);
+    OptionalDouble cold = coldTargets.limitOf(target, clock.nowMs());
+    if (announced.isEmpty() || cold.isEmpty()) {
+      return announced.isPresent() ? announced : cold;
+    }
+    return OptionalDouble.of(Math.min(announced.getAsDouble(), cold.getAsDouble()));
+  }
+
   /**
    * Sets the listener that sends quota requests to the holder of the term.
    *
@@ -130,6 +200,7 @@
     synchronized (this) {
       for (TargetId target : changed) {
         OptionalDouble perS = limitTracker.limitOf(target);
+        OptionalDouble current = currentLimitOf(target);
         Quota quota = quotas.get(target);
         if (perS.isPresent()) {
           log.write(
@@ -140,15 +211,14 @@
               source);
         } else {
           log.write("target_limit_ended", "target={} source={}", target, source);
-          quotas.remove(target);
         }
-        if (quota != null && perS.isPresent()) {
-          quota.localQuota.setLimit(perS.getAsDouble());
+        if (quota != null && current.isPresent()) {
+          quota.localQuota.setLimit(current.getAsDouble());
         } else if (quota != null) {
           usable.add(quota.service);
         }
       }
-      anyLimit = !limitTracker.limits().isEmpty();
+      removeEnded();
     }
     usable.forEach(onUsable);
   }
@@ -160,7 +230,7 @@
    * @return requests per second from all gateways together; empty if it has none
    */
   public synchronized OptionalDouble limitOf(TargetId target) {
-    return limitTracker.limitOf(target);
+    return currentLimitOf(target);
   }
 
   /**
@@ -169,7 +239,9 @@
    * @return requests per second by target; never null
    */
   public synchronized Map<TargetId, Double> limits() {
-    return limitTracker.limits();
+    Map<TargetId, Double> limits = coldTargets.limits(clock.nowMs());
+    limitTracker.limits().forEach((target, perS) -> limits.merge(target, perS, Math::min));
+    return limits;
   }
 
   /**
@@ -211,8 +283,7 @@
     }
     synchronized (this) {
       limitTracker.forget(registered, clock.nowMs());
-      quotas.keySet().removeIf(target -> limitTracker.limitOf(target).isEmpty());
-      anyLimit = !limitTracker.limits().isEmpty();
+      removeEnded();
     }
   }
 
@@ -232,7 +303,7 @@
     }
     Optional<QuotaRequest> quotaRequest;
     synchronized (this) {
-      OptionalDouble perS = limitTracker.limitOf(target.id());
+      OptionalDouble perS = currentLimitOf(target.id());
       if (perS.isEmpty()) {
         return true;
       }
@@ -258,8 +329,15 @@
   }
 
   private QuotaRequest newQuotaRequest(FleetTarget target, int priority, Quota quota) {
-    LimitReport limit = limitTracker.reports(List.of(target.id()), clock.nowMs()).get(0);
-    return new QuotaRequest(limit, priority, 1, quota.localQuota.expectedRequests());
+    long nowMs = clock.nowMs();
+    int ahead = quota.localQuota.expectedRequests();
+    if (limitTracker.limitOf(target.id()).isPresent()) {
+      LimitReport announced = limitTracker.reports(List.of(target.id()), nowMs).get(0);
+      return new QuotaRequest(announced, priority, 1, ahead, 0);
+    }
+    LimitReport cold =
+        new LimitReport(target.id(), coldTargets.limitOf(target.id(), nowMs).orElseThrow(), 0);
+    return new QuotaRequest(cold, priority, 1, ahead, coldTargets.leftMs(target.id(), nowMs));
   }
 
   /** Requests quota, and serves the waiting requests again even if no reply comes. */
@@ -307,7 +385,7 @@
     Quota quota = quotas.get(target);
     long retryAfterMs =
         quota == null ? 1 : quota.localQuota.nextRetryAfterMs(priority, clock.nowMs());
-    return TargetRefusal.forLimit(target, limitTracker.limitOf(target).orElse(0), retryAfterMs);
+    return TargetRefusal.forLimit(target, currentLimitOf(target).orElse(0), retryAfterMs);
   }
 
   /** Returns whether a target has a limit. */
@@ -317,7 +395,7 @@
 
   /** Returns the number of targets with a limit. */
   synchronized int size() {
-    return limitTracker.limits().size();
+    return limits().size();
   }
 
   /** This gateway's share of one limit and its use. */
@@ -345,7 +423,7 @@
           "target_limit_used",
           "target={} limit_per_s={} sent={} in_ms={} alone={}",
           target,
-          limitTracker.limitOf(target).orElse(0),
+          currentLimitOf(target).orElse(0),
           sent,
           nowMs - sinceMs,
           localQuota.isIssuerUnreachable());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
@@ -19,7 +19,13 @@
     /** It asked this gateway for a back-off. */
     REST,
     /** It owns the key but cannot run the request, and the key cannot move for now. */
-    STUCK_KEY
+    STUCK_KEY,
+    /** All targets of the service are in evacuated data centres. */
+    EVACUATED
+  }
+
+  static TargetRefusal forEvacuation(TargetId target, long retryAfterMs) {
+    return new TargetRefusal(target, Cause.EVACUATED, 0, retryAfterMs);
   }
 
   static TargetRefusal forLimit(TargetId target, double limitPerS, long retryAfterMs) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ConfigurationWatchTest.java
@@ -13,6 +13,7 @@
 import io.cuminvalve.testkit.time.VirtualClock;
 import io.cuminvalve.testkit.time.VirtualExecutor;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -40,7 +41,13 @@
   private final ConfigurationWatch watch =
       new ConfigurationWatch(
           new GatewayPorts(
-              store, "configuration", ConfigurationWatchTest::decode, null, null, null),
+              store,
+              "configuration",
+              ConfigurationWatchTest::decode,
+              bytes -> Set.of(),
+              null,
+              null,
+              null),
           state,
           control,
           clock,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
@@ -9,6 +9,7 @@
 import io.cuminvalve.core.protocol.FleetMessage;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.quarantine.CrashTracker;
+import io.cuminvalve.core.quota.ColdBound;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.RequestHeaders;
@@ -83,7 +84,13 @@
     DecisionLog log = new DecisionLog(clock, 100, line -> lines.add(clock.nowMs() + " " + line));
     GatewayPorts ports =
         new GatewayPorts(
-            new CursorStore(clock), "configuration", bytes -> null, registry, null, null);
+            new CursorStore(clock),
+            "configuration",
+            bytes -> null,
+            bytes -> Set.of(),
+            registry,
+            null,
+            null);
     FleetTimings timings = new FleetTimings(state);
     Network network = new Network();
     this.configuration =
@@ -162,6 +169,8 @@
         1,
         firstStart,
         new LeaseTimings(4_000, 10_000, 1_000, 2_000, 700, 100, 0.02, 100, 9_500),
+        0,
+        new ColdBound(1, 4),
         0.2,
         5,
         1_000,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/QuotaFleet.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/QuotaFleet.java
@@ -48,6 +48,8 @@
   private final List<Long> arrivalsMs = new ArrayList<>();
   private final int[] sentByPriority = new int[3];
   private String limit;
+  private double coldPerS;
+  private long warmAtMs;
   private int holder;
   private long holderSinceMs;
   private long nowMs = 1;
@@ -72,6 +74,13 @@
     limit = perS;
   }
 
+  /** Makes the target cold; all gateways know it, also those that start later. */
+  void becomeCold(double perS, long forMs) {
+    coldPerS = perS;
+    warmAtMs = nowMs + forMs;
+    members.forEach(Member::learnOfCold);
+  }
+
   void request(int gateway, int priority) {
     members.get(gateway).request(priority);
   }
@@ -110,11 +119,16 @@
 
   /** Returns the maximum number of requests that the target received in any 4 s since a time. */
   int maxRequestsIn4s(long sinceMs) {
+    return maxRequestsIn(4_000, sinceMs);
+  }
+
+  /** Returns the maximum number of requests in any time of the given length since a time. */
+  int maxRequestsIn(long windowMs, long sinceMs) {
     int max = 0;
     int first = 0;
     for (int last = 0; last < arrivalsMs.size(); last++) {
       while (arrivalsMs.get(first) < sinceMs
-          || arrivalsMs.get(last) - arrivalsMs.get(first) > 4_000) {
+          || arrivalsMs.get(last) - arrivalsMs.get(first) > windowMs) {
         first++;
         if (first > last) {
           break;
@@ -185,7 +199,15 @@
           new QuotaCoordinator("gateway-" + index, traffic.quotas(), this, () -> nowMs);
       traffic.quotas().onLimit(coordinator::onSeen);
       traffic.quotas().onQuotaRequest(coordinator::ask);
+      traffic.quotas().onCold(coordinator::onCold);
       traffic.onUsable(service -> sendWaiting());
+      learnOfCold();
+    }
+
+    private void learnOfCold() {
+      if (nowMs < warmAtMs) {
+        traffic.quotas().onCold(TARGET.id(), TARGET.service(), coldPerS, warmAtMs - nowMs);
+      }
     }
 
     void request(int priority) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReplacedTargetTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReplacedTargetTest.java
@@ -34,6 +34,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -137,6 +138,7 @@
             new MemoryStore(),
             "configuration",
             bytes -> null,
+            bytes -> Set.of(),
             registry.new Reader(),
             targets,
             null),
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServicePlannerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ServicePlannerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.fleet.TargetRegister;
@@ -53,13 +54,13 @@
   void assignKeys() {
     register.put(target("a", TargetPhase.READY));
     register.put(target("b", TargetPhase.READY));
-    planner.plan(register, 3, true, SETTLED_MS);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS);
     leaseManager.onWritten(leaseManager.version());
     for (LeaseOrder order : leaseManager.due(SETTLED_MS, target -> true)) {
       leaseManager.onGrantEnded(
           (LeaseOrder.Grant) order, OrderOutcome.DONE, SETTLED_MS, SETTLED_MS);
     }
-    planner.plan(register, 3, true, SETTLED_MS);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS);
   }
 
   /** Reports load on the first keys, all of which have one owner. */
@@ -72,7 +73,7 @@
   @Test
   void unevenLoadIsEvenedOut() {
     onWork(WORK_MS);
-    planner.plan(register, 3, true, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isTrue();
   }
 
@@ -80,7 +81,7 @@
   @Test
   void unevenLoadIsLeftAloneWhileTheStoreDoesNotAnswer() {
     onWork(WORK_MS);
-    planner.plan(register, 3, false, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, false, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isFalse();
     assertThat(leaseManager.routes().stream().allMatch(route -> route.open())).isTrue();
   }
@@ -89,10 +90,10 @@
   @Test
   void ownersWithLimitsAreRelieved() {
     onWork(LITTLE_WORK_MS);
-    planner.plan(register, 3, true, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isFalse();
     limits.put(ownerOf(0), OptionalDouble.of(2));
-    planner.plan(register, 3, true, SETTLED_MS + 500);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS + 500);
     assertThat(leaseManager.needsWrite()).isTrue();
     assertThat(ownersOfBusyKeys()).hasSize(2);
   }
@@ -103,7 +104,7 @@
     onWork(LITTLE_WORK_MS);
     final TargetId owner = ownerOf(0);
     resting.add(owner);
-    planner.plan(register, 3, true, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isTrue();
     assertThat(ownersOfBusyKeys()).doesNotContain(owner);
   }
@@ -112,7 +113,7 @@
   void ownersThatBackOffKeepTheirKeysWhileNoMoveCanBeWritten() {
     onWork(LITTLE_WORK_MS);
     resting.add(ownerOf(0));
-    planner.plan(register, 3, false, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, false, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isFalse();
   }
 
@@ -122,7 +123,7 @@
     onWork(LITTLE_WORK_MS);
     resting.add(new TargetId("a"));
     resting.add(new TargetId("b"));
-    planner.plan(register, 3, true, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isFalse();
   }
 
@@ -132,7 +133,7 @@
     onWork(WORK_MS);
     limits.put(new TargetId("c"), OptionalDouble.of(0.1));
     register.put(target(ownerOf(0).value(), TargetPhase.DRAINING));
-    planner.plan(register, 3, true, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, true, SETTLED_MS + 250);
     assertThat(ownersOfBusyKeys()).doesNotContain(new TargetId("c"));
   }
 
@@ -151,7 +152,7 @@
   @Test
   void keysOfTargetsThatLeaveAreMovedInAnyCase() {
     register.put(target("a", TargetPhase.DRAINING));
-    planner.plan(register, 3, false, SETTLED_MS + 250);
+    planner.plan(register, Evacuations.NONE, 3, false, SETTLED_MS + 250);
     assertThat(leaseManager.needsWrite()).isTrue();
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StartupReaderTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/StartupReaderTest.java
@@ -85,7 +85,8 @@
 
   private void read(boolean registryAnswers) {
     GatewayPorts ports =
-        new GatewayPorts(memory, "configuration", null, new Registry(registryAnswers), null, null);
+        new GatewayPorts(
+            memory, "configuration", null, null, new Registry(registryAnswers), null, null);
     DecisionLog log = new DecisionLog(() -> 0, 100, line -> {});
     StartupReader reader =
         new StartupReader(ports, control, () -> SENT_MS, log, codec, new Results());
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermCoordinatorTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermCoordinatorTest.java
@@ -68,7 +68,8 @@
           public void onRoutes(long term, long version, List<ServiceRanges> services) {}
         };
     return new TermCoordinator(
-        new GatewayPorts(store, "configuration", bytes -> null, reader, null, null),
+        new GatewayPorts(
+            store, "configuration", bytes -> null, bytes -> Set.of(), reader, null, null),
         state,
         control,
         clock,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchDelayBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchDelayBoundsTest.java
@@ -24,6 +24,7 @@
 import io.cuminvalve.wire.RecordCodec;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -193,7 +194,13 @@
     ConfigurationWatch watch =
         new ConfigurationWatch(
             new GatewayPorts(
-                store, "configuration", WatchDelayBoundsTest::decode, null, null, null),
+                store,
+                "configuration",
+                WatchDelayBoundsTest::decode,
+                bytes -> Set.of(),
+                null,
+                null,
+                null),
             new RoutingState(1),
             control,
             clock,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -7,6 +7,7 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.RangeRoute;
+import io.cuminvalve.core.quota.ColdBound;
 import io.cuminvalve.core.route.CallerBounds;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
@@ -105,6 +106,8 @@
         1,
         true,
         null,
+        0,
+        new ColdBound(1, 4),
         0.1,
         100,
         5_000,
