Read the load that targets state, and count their work without their queue

Cause: nothing read X-Instance-Load. The load of a key was the time until its answer, the target's queue included, so a queue looked like work of its slots and the holder had requests refused while slots were free.

The grace of evacuated owners counts from the last moment at which the data centre is known not to have been evacuated; a process that has just started grants none. Cold times are sent to starting gateways as what is left of them, else each restart would have limited warm targets for 3 s.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -29,6 +29,15 @@
           Map.entry(
               "key_stuck",
               "the owner could not run it, and keys could not move while the store was away"),
+          Map.entry(
+              "service_evacuated",
+              "operators had evacuated every data centre in which the service runs"),
+          Map.entry(
+              "unmet_data_centre_open",
+              "its target was in a data centre that had just been evacuated"),
+          Map.entry(
+              "unknown_data_centre_open",
+              "this gateway did not know recently enough which data centres were evacuated"),
           Map.entry(
               "limit_unanswered",
               "the holder did not answer in time whether its target, which has a limit, takes it"),
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/Evacuations.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/Evacuations.java
@@ -9,7 +9,8 @@
 import java.util.Set;
 
 /**
- * The data centres that operators have evacuated, with the time since which this process knows it.
+ * The data centres that operators have evacuated, with the earliest time at which they may have
+ * done so.
  *
  * <p>Targets in an evacuated data centre get no requests. The owners of keys are an exception for a
  * short time, so that each key is served until it has moved. Immutable.
@@ -33,13 +34,14 @@
    * Returns the state after operators have changed which data centres are evacuated.
    *
    * @param evacuated all evacuated data centres; not null
-   * @param now the current time; not null
+   * @param earliest the latest time at which the earlier state is known to have been in force; not
+   *     null
    * @param nowMs the current time; milliseconds
    * @return never null
    */
-  public Evacuations with(Collection<DataCentreId> evacuated, UpperTime now, long nowMs) {
+  public Evacuations with(Collection<DataCentreId> evacuated, UpperTime earliest, long nowMs) {
     Map<DataCentreId, UpperTime> nextSince = new HashMap<>();
-    evacuated.forEach(id -> nextSince.put(id, since.getOrDefault(id, now)));
+    evacuated.forEach(id -> nextSince.put(id, since.getOrDefault(id, earliest)));
     Map<DataCentreId, Long> nextEndedMs = new HashMap<>(endedMs);
     since.keySet().forEach(id -> nextEndedMs.put(id, nowMs));
     nextEndedMs.keySet().removeAll(evacuated);
@@ -70,8 +72,8 @@
    *
    * @param dataCentre the data centre of the owner; not null
    * @param now the current time; not null
-   * @param graceMs for how long owners in an evacuated data centre continue; milliseconds
-   * @return true also for a short time after the data centre was evacuated
+   * @param graceMs for how long owners continue after the evacuation; milliseconds
+   * @return true also for a short time after the earliest moment of the evacuation
    */
   public boolean permitsOwner(DataCentreId dataCentre, UpperTime now, long graceMs) {
     UpperTime evacuated = since.get(dataCentre);
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/FleetTarget.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/FleetTarget.java
@@ -46,6 +46,16 @@
     return new FleetTarget(id, service, address, dataCentre, slots, TargetPhase.DRAINING, coldMs);
   }
 
+  /**
+   * Returns a copy of this registration with another warm-up time.
+   *
+   * @param leftMs the time for which it is still cold; milliseconds
+   * @return never null
+   */
+  public FleetTarget withColdMs(long leftMs) {
+    return new FleetTarget(id, service, address, dataCentre, slots, phase, leftMs);
+  }
+
   /**
    * Returns whether another registration is equivalent for routing.
    *
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetSignals.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/fleet/TargetSignals.java
@@ -17,6 +17,7 @@
  * @param leaving whether it is about to terminate
  * @param backoffMs how long this gateway should send it no requests; milliseconds, above 0; empty
  *     if not requested
+ * @param occupancy how busy it is; empty if not stated
  * @param unreadable the signals whose header fields could not be parsed; not null
  * @param unknownFields the names of header fields that are not recognised; not null
  * @since 0.2
@@ -28,6 +29,7 @@
     OptionalDouble limitPerS,
     boolean leaving,
     OptionalLong backoffMs,
+    Optional<TargetOccupancy> occupancy,
     Set<Kind> unreadable,
     List<String> unknownFields) {
 
@@ -44,7 +46,9 @@
     /** No further requests, because the target is terminating. */
     LEAVING,
     /** No requests for a time. */
-    REST
+    REST,
+    /** How busy the target is. */
+    OCCUPANCY
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/EvacuationTracker.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/EvacuationTracker.java
@@ -81,7 +81,8 @@
     if (next.equals(known.dataCentres())) {
       return;
     }
-    Evacuations applied = known.with(next, clock.upper(), clock.nowMs());
+    // The value that is applied here has not been confirmed yet, so this is an earlier time.
+    Evacuations applied = known.with(next, state.configurationConfirmed(), clock.nowMs());
     state.update(snapshot -> snapshot.withEvacuations(applied));
     logChange("data_centre_evacuated", next, known.dataCentres());
     logChange("data_centre_returned", known.dataCentres(), next);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -139,7 +139,7 @@
   private final QuotaLink quotas;
   private final DepartureLink departures;
   private final FallbackRegistryFollower fallbackFollower;
-  private final FleetView view = new FleetView();
+  private final FleetView view;
   private volatile Optional<TermCoordinator> coordinator = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
   private UpperTime holderHeard;
@@ -196,6 +196,7 @@
             reports.departures(),
             () -> coordinator.ifPresent(TermCoordinator::onDepartures));
     this.fallbackFollower = new FallbackRegistryFollower(ports, state, control, clock, log);
+    this.view = new FleetView(reports.quotas()::coldLeftMs);
     this.terms = terms;
     this.deputies = deputies;
     this.configuration = configuration;
@@ -578,7 +579,8 @@
             known.revision(),
             known.value(),
             coordinator.isPresent() ? network.localAddress() : holderAddress.orElse(""),
-            new TargetsPush(0, 0, List.copyOf(state.current().targets())),
+            view.withCurrentColdTimes(
+                new TargetsPush(0, 0, List.copyOf(state.current().targets()))),
             view.routes()));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -17,6 +17,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.ToLongFunction;
 
 /**
  * The targets and the owners of keys that the term holder published last.
@@ -27,6 +28,7 @@
  */
 final class FleetView {
 
+  private final ToLongFunction<TargetId> coldLeftMs;
   private TargetsPush targets = new TargetsPush(0, 0, List.of());
   private RoutesPush routes = new RoutesPush(0, 0, List.of());
 
@@ -38,6 +40,24 @@
 
   private long newestVersion;
 
+  /**
+   * Creates a view without targets and owners.
+   *
+   * @param coldLeftMs returns for how long a target is still cold; milliseconds; not null
+   */
+  FleetView(ToLongFunction<TargetId> coldLeftMs) {
+    this.coldLeftMs = coldLeftMs;
+  }
+
+  /** Returns the message with the cold times that are left now; those in it may be long over. */
+  TargetsPush withCurrentColdTimes(TargetsPush push) {
+    List<FleetTarget> current = new ArrayList<>();
+    for (FleetTarget target : push.targets()) {
+      current.add(target.withColdMs(coldLeftMs.applyAsLong(target.id())));
+    }
+    return new TargetsPush(push.term(), push.version(), current);
+  }
+
   TargetsPush targets() {
     return targets;
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
@@ -50,7 +50,7 @@
             || hello.targetsTerm() != term
             || hello.targetsVersion() < subscriber.expectedTargetsVersion;
     if (lacksTargets && view.targets().term() == term) {
-      sender.send(view.targets());
+      sender.send(view.withCurrentColdTimes(view.targets()));
     }
     boolean lacksRoutes =
         isNew
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -57,7 +57,7 @@
   /**
    * Sets for how long the owners of keys in an evacuated data centre continue to get requests.
    *
-   * @param graceMs counted from when this process learned of the evacuation; milliseconds
+   * @param graceMs counted from the earliest moment of the evacuation; milliseconds
    */
   public void setEvacuationGraceMs(long graceMs) {
     evacuationGraceMs = graceMs;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetOccupancy;
 import io.cuminvalve.core.fleet.TargetSignals;
 import io.cuminvalve.core.send.ConditionLookup;
 import io.cuminvalve.core.send.SendKind;
@@ -65,6 +66,9 @@
   private volatile AttemptOutcome outcome = AttemptOutcome.GIVEN_UP;
   private volatile long sentMs;
 
+  /** How busy the target was when it answered. */
+  private volatile Optional<TargetOccupancy> occupancy = Optional.empty();
+
   /** The send condition that failed before the first byte. */
   private volatile Optional<SendObstacle> obstacle = Optional.empty();
 
@@ -172,6 +176,7 @@
       return;
     }
     if (!signals.isFromOtherThan(slot.target().id().name())) {
+      occupancy = signals.occupancy();
       services.signals().onAnswer(slot.target(), signals, sentMs);
     }
     Content.Source.asByteArrayAsync(response.body(), MAX_RESPONSE_BYTES)
@@ -269,7 +274,8 @@
     if (released.compareAndSet(false, true)) {
       long tookMs = services.clock().nowMs() - sentMs;
       if (call.key().isPresent() && outcome != AttemptOutcome.GIVEN_UP) {
-        services.keyLoad().add(call.service(), call.key().getAsInt(), tookMs);
+        long workMs = occupancy.map(stated -> stated.serviceTimeMs(tookMs)).orElse(tookMs);
+        services.keyLoad().add(call.service(), call.key().getAsInt(), workMs);
       }
       services.dispatcher().release(slot, slotRequest, outcome, tookMs);
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -113,6 +113,16 @@
     anyLimit |= coldTargets.onCold(target, perS, nowMs + coldMs, nowMs);
   }
 
+  /**
+   * Returns for how long a target is still cold.
+   *
+   * @param target the run of the target; not null
+   * @return milliseconds; 0 if it is warm, or needs no limit while it is cold
+   */
+  public synchronized long coldLeftMs(TargetId target) {
+    return coldTargets.leftMs(target, clock.nowMs());
+  }
+
   /** Serves the requests that wait for quota of a target that is warm now. */
   private void onWarm(ServiceId service) {
     synchronized (this) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/EvacuationTrackerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/EvacuationTrackerTest.java
@@ -2,7 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.id.ServiceId;
+import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.kernel.CodedException;
@@ -42,6 +46,31 @@
     assertThat(evacuated()).containsExactly(B);
   }
 
+  /** The evacuation may have begun right after the state was last confirmed, unnoticed since. */
+  @Test
+  void theGraceCountsFromTheLastConfirmation() {
+    FleetTarget owner =
+        new FleetTarget(
+            new TargetId("one"), new ServiceId("s"), "10.0.0.1:80", A, 1, TargetPhase.READY, 0);
+    state.setEvacuationGraceMs(2_000);
+    state.watch(() -> clock.upper().minusMs(1_500), () -> 1_000, () -> false);
+    tracker.onValue(value("a", 5));
+    assertThat(state.isDataCentreOpen(owner, true, clock.upper().plusMs(500))).isTrue();
+    assertThat(state.isDataCentreOpen(owner, true, clock.upper().plusMs(501))).isFalse();
+    assertThat(state.isDataCentreOpen(owner, false, clock.upper())).isFalse();
+  }
+
+  /** A process that has just started does not know for how long a data centre is evacuated. */
+  @Test
+  void startedProcessesGrantNoGrace() {
+    FleetTarget owner =
+        new FleetTarget(
+            new TargetId("one"), new ServiceId("s"), "10.0.0.1:80", A, 1, TargetPhase.READY, 0);
+    state.setEvacuationGraceMs(2_000);
+    tracker.onValue(value("a", 5));
+    assertThat(state.isDataCentreOpen(owner, true, clock.upper())).isFalse();
+  }
+
   @Test
   void unreadableValuesChangeNothing() {
     tracker.onValue(value("a", 5));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
@@ -26,8 +26,8 @@
   private static final RangeRoute LOW = new RangeRoute(0, 9, A, true);
   private static final RangeRoute HIGH = new RangeRoute(10, 19, B, true);
 
-  private final FleetView holder = new FleetView();
-  private final FleetView follower = new FleetView();
+  private final FleetView holder = new FleetView(target -> 0);
+  private final FleetView follower = new FleetView(target -> 0);
 
   @Test
   void theFirstMessagesOfTheTermAreComplete() {
@@ -48,6 +48,27 @@
     assertThat(targets.removed()).containsExactly(A);
   }
 
+  /** Otherwise the other gateways would send it as much as a warm one. */
+  @Test
+  void targetsThatAreColdAgainArePublished() {
+    FleetTarget cold = target(A).withColdMs(3_000);
+    holder.publishTargets(5, 1, List.of(cold));
+    holder.publishTargets(5, 2, List.of(target(A), target(B)));
+    TargetsChange again = (TargetsChange) holder.publishTargets(5, 3, List.of(cold, target(B)));
+    assertThat(again.written()).containsExactly(cold);
+    TargetsChange still = (TargetsChange) holder.publishTargets(5, 4, List.of(cold, target(B)));
+    assertThat(still.written()).containsExactly(cold);
+  }
+
+  /** A target that was published as cold long ago is warm for a gateway that starts now. */
+  @Test
+  void startingGatewaysGetTheColdTimeThatIsLeft() {
+    FleetView aged = new FleetView(target -> target.equals(A) ? 700 : 0);
+    aged.publishTargets(5, 1, List.of(target(A).withColdMs(3_000), target(B).withColdMs(3_000)));
+    assertThat(aged.withCurrentColdTimes(aged.targets()).targets())
+        .containsExactly(target(A).withColdMs(700), target(B));
+  }
+
   @Test
   void changesAreAppliedToKnownState() {
     receive(holder.publishRoutes(5, 1, routes(LOW, HIGH)));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
@@ -270,7 +270,7 @@
     private final String address;
     private final long term;
     private final RegistryFollower registry;
-    private final FleetView view = new FleetView();
+    private final FleetView view = new FleetView(target -> 0);
     private final Subscribers subscribers = new Subscribers();
     private final PeerChannel channel;
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/SubscribersTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/SubscribersTest.java
@@ -16,7 +16,7 @@
 
   private static final long TERM = 5;
 
-  private final FleetView view = new FleetView();
+  private final FleetView view = new FleetView(target -> 0);
   private final Subscribers subscribers = new Subscribers();
   private final Channel channel = new Channel();
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -230,6 +230,7 @@
         OptionalDouble.empty(),
         false,
         OptionalLong.empty(),
+        Optional.empty(),
         Set.of(),
         List.of());
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -130,6 +130,7 @@
             OptionalDouble.empty(),
             true,
             OptionalLong.empty(),
+            Optional.empty(),
             Set.of(),
             List.of());
     if (signals.leaving()) {
