--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServicePlanner.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/ServicePlanner.java
@@ -175,7 +175,7 @@
       long nowMs) {
     List<FleetTarget> ready = new ArrayList<>(register.of(service));
     ready.removeIf(target -> !target.isReady());
-    Set<TargetId> evacuated = removeEvacuated(ready, evacuations);
+    final Set<TargetId> evacuated = removeEvacuated(ready, evacuations);
     if (ready.size() != lastTargetCount) {
       lastTargetCount = ready.size();
       targetsChangedMs = nowMs;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -34,9 +34,6 @@
  */
 public final class TargetQuotas {
 
-  /** Shortest interval between two log lines on the requests sent to one limited target. */
-  private static final long LOG_INTERVAL_MS = 4_000;
-
   /** Assumed until the holder has reported the number of gateways; a small share is safe. */
   private static final int ASSUMED_GATEWAYS = 100;
 
@@ -46,7 +43,7 @@
   private final RandomGenerator random;
   private final TargetLimitTracker limitTracker = new TargetLimitTracker();
   private final ColdTargets coldTargets = new ColdTargets();
-  private final Map<TargetId, Quota> quotas = new HashMap<>();
+  private final Map<TargetId, QuotaUse> quotas = new HashMap<>();
   private int gateways = ASSUMED_GATEWAYS;
   private volatile boolean anyLimit;
   private volatile Consumer<List<TargetId>> onLimit = targets -> {};
@@ -125,28 +122,16 @@
 
   /** Serves the requests that wait for quota of a target that is warm now. */
   private void onWarm(ServiceId service) {
-    synchronized (this) {
-      removeEnded();
-    }
+    removeEnded();
     onUsable.accept(service);
   }
 
-  private void removeEnded() {
+  private synchronized void removeEnded() {
     coldTargets.removeEnded(clock.nowMs());
-    quotas.keySet().removeIf(target -> currentLimitOf(target).isEmpty());
+    quotas.keySet().removeIf(target -> limitOf(target).isEmpty());
     anyLimit = !limitTracker.limits().isEmpty() || !coldTargets.isEmpty();
   }
 
-  /** Returns the lower one of the limits that a target has announced or has while it is cold. */
-  private OptionalDouble currentLimitOf(TargetId target) {
-    OptionalDouble announced = limitTracker.limitOf(target);
-    OptionalDouble cold = coldTargets.limitOf(target, clock.nowMs());
-    if (announced.isEmpty() || cold.isEmpty()) {
-      return announced.isPresent() ? announced : cold;
-    }
-    return OptionalDouble.of(Math.min(announced.getAsDouble(), cold.getAsDouble()));
-  }
-
   /**
    * Sets the listener that sends quota requests to the holder of the term.
    *
@@ -210,8 +195,8 @@
     synchronized (this) {
       for (TargetId target : changed) {
         OptionalDouble perS = limitTracker.limitOf(target);
-        OptionalDouble current = currentLimitOf(target);
-        Quota quota = quotas.get(target);
+        OptionalDouble current = limitOf(target);
+        QuotaUse quota = quotas.get(target);
         if (perS.isPresent()) {
           log.write(
               "target_limit",
@@ -223,9 +208,9 @@
           log.write("target_limit_ended", "target={} source={}", target, source);
         }
         if (quota != null && current.isPresent()) {
-          quota.localQuota.setLimit(current.getAsDouble());
+          quota.localQuota().setLimit(current.getAsDouble());
         } else if (quota != null) {
-          usable.add(quota.service);
+          usable.add(quota.service());
         }
       }
       removeEnded();
@@ -234,13 +219,18 @@
   }
 
   /**
-   * Returns the limit of a target.
+   * Returns the limit of a target, the lower one if it is cold and has announced one, too.
    *
    * @param target the run of the target; not null
    * @return requests per second from all gateways together; empty if it has none
    */
   public synchronized OptionalDouble limitOf(TargetId target) {
-    return currentLimitOf(target);
+    OptionalDouble announced = limitTracker.limitOf(target);
+    OptionalDouble cold = coldTargets.limitOf(target, clock.nowMs());
+    if (announced.isEmpty() || cold.isEmpty()) {
+      return announced.isPresent() ? announced : cold;
+    }
+    return OptionalDouble.of(Math.min(announced.getAsDouble(), cold.getAsDouble()));
   }
 
   /**
@@ -313,14 +303,14 @@
     }
     Optional<QuotaRequest> quotaRequest;
     synchronized (this) {
-      OptionalDouble perS = currentLimitOf(target.id());
+      OptionalDouble perS = limitOf(target.id());
       if (perS.isEmpty()) {
         return true;
       }
-      Quota quota = quotaOf(target, perS.getAsDouble());
-      LocalQuota.Decision decision = quota.localQuota.take(priority, gateways, clock.nowMs());
+      QuotaUse quota = quotaOf(target, perS.getAsDouble());
+      LocalQuota.Decision decision = quota.localQuota().take(priority, gateways, clock.nowMs());
       if (decision == LocalQuota.Decision.TAKEN) {
-        quota.onSent(clock.nowMs());
+        quota.onSent(perS.getAsDouble(), clock.nowMs());
         return true;
       }
       quotaRequest =
@@ -332,15 +322,15 @@
     return false;
   }
 
-  private Quota quotaOf(FleetTarget target, double perS) {
+  private QuotaUse quotaOf(FleetTarget target, double perS) {
     return quotas.computeIfAbsent(
         target.id(),
-        id -> new Quota(id, target.service(), new LocalQuota(perS, random), clock.nowMs()));
+        id -> new QuotaUse(id, target.service(), new LocalQuota(perS, random), log, clock.nowMs()));
   }
 
-  private QuotaRequest newQuotaRequest(FleetTarget target, int priority, Quota quota) {
+  private QuotaRequest newQuotaRequest(FleetTarget target, int priority, QuotaUse quota) {
     long nowMs = clock.nowMs();
-    int ahead = quota.localQuota.expectedRequests();
+    int ahead = quota.localQuota().expectedRequests();
     if (limitTracker.limitOf(target.id()).isPresent()) {
       LimitReport announced = limitTracker.reports(List.of(target.id()), nowMs).get(0);
       return new QuotaRequest(announced, priority, 1, ahead, 0);
@@ -362,15 +352,15 @@
    * @param reply the reply; not null
    */
   public void onReply(QuotaReply reply) {
-    Quota quota;
+    QuotaUse quota;
     synchronized (this) {
       quota = quotas.get(reply.target());
       if (quota != null) {
-        quota.localQuota.onGrant(reply.priority(), reply.grant(), clock.nowMs());
+        quota.localQuota().onGrant(reply.priority(), reply.grant(), clock.nowMs());
       }
     }
     if (quota != null) {
-      onUsable.accept(quota.service);
+      onUsable.accept(quota.service());
     }
   }
 
@@ -383,19 +373,19 @@
       return OptionalLong.empty();
     }
     synchronized (this) {
-      Quota quota = quotas.get(target);
+      QuotaUse quota = quotas.get(target);
       return quota == null
           ? OptionalLong.empty()
-          : quota.localQuota.refusedForMs(priority, clock.nowMs());
+          : quota.localQuota().refusedForMs(priority, clock.nowMs());
     }
   }
 
   /** Refuses a request because of a target's limit, with a time at which to retry. */
   synchronized TargetRefusal refuse(TargetId target, int priority) {
-    Quota quota = quotas.get(target);
+    QuotaUse quota = quotas.get(target);
     long retryAfterMs =
-        quota == null ? 1 : quota.localQuota.nextRetryAfterMs(priority, clock.nowMs());
-    return TargetRefusal.forLimit(target, currentLimitOf(target).orElse(0), retryAfterMs);
+        quota == null ? 1 : quota.localQuota().nextRetryAfterMs(priority, clock.nowMs());
+    return TargetRefusal.forLimit(target, limitOf(target).orElse(0), retryAfterMs);
   }
 
   /** Returns whether a target has a limit. */
@@ -407,38 +397,4 @@
   synchronized int size() {
     return limits().size();
   }
-
-  /** This gateway's share of one limit and its use. */
-  private final class Quota {
-
-    private final TargetId target;
-    private final ServiceId service;
-    private final LocalQuota localQuota;
-    private long sinceMs;
-    private int sent;
-
-    Quota(TargetId target, ServiceId service, LocalQuota localQuota, long nowMs) {
-      this.target = target;
-      this.service = service;
-      this.localQuota = localQuota;
-      this.sinceMs = nowMs;
-    }
-
-    void onSent(long nowMs) {
-      sent++;
-      if (nowMs - sinceMs < LOG_INTERVAL_MS) {
-        return;
-      }
-      log.write(
-          "target_limit_used",
-          "target={} limit_per_s={} sent={} in_ms={} alone={}",
-          target,
-          currentLimitOf(target).orElse(0),
-          sent,
-          nowMs - sinceMs,
-          localQuota.isIssuerUnreachable());
-      sent = 0;
-      sinceMs = nowMs;
-    }
-  }
 }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/EvacuationTrackerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/EvacuationTrackerTest.java
@@ -26,6 +26,10 @@
   private static final DataCentreId A = new DataCentreId("a");
   private static final DataCentreId B = new DataCentreId("b");
 
+  private static final FleetTarget OWNER =
+      new FleetTarget(
+          new TargetId("one"), new ServiceId("s"), "10.0.0.1:80", A, 1, TargetPhase.READY, 0);
+
   private final VirtualClock clock = new VirtualClock(1_000);
   private final RoutingState state = new RoutingState(1);
   private final EvacuationTracker tracker =
@@ -49,26 +53,20 @@
   /** The evacuation may have begun right after the state was last confirmed, unnoticed since. */
   @Test
   void theGraceCountsFromTheLastConfirmation() {
-    FleetTarget owner =
-        new FleetTarget(
-            new TargetId("one"), new ServiceId("s"), "10.0.0.1:80", A, 1, TargetPhase.READY, 0);
     state.setEvacuationGraceMs(2_000);
     state.watch(() -> clock.upper().minusMs(1_500), () -> 1_000, () -> false);
     tracker.onValue(value("a", 5));
-    assertThat(state.isDataCentreOpen(owner, true, clock.upper().plusMs(500))).isTrue();
-    assertThat(state.isDataCentreOpen(owner, true, clock.upper().plusMs(501))).isFalse();
-    assertThat(state.isDataCentreOpen(owner, false, clock.upper())).isFalse();
+    assertThat(state.isDataCentreOpen(OWNER, true, clock.upper().plusMs(500))).isTrue();
+    assertThat(state.isDataCentreOpen(OWNER, true, clock.upper().plusMs(501))).isFalse();
+    assertThat(state.isDataCentreOpen(OWNER, false, clock.upper())).isFalse();
   }
 
   /** A process that has just started does not know for how long a data centre is evacuated. */
   @Test
   void startedProcessesGrantNoGrace() {
-    FleetTarget owner =
-        new FleetTarget(
-            new TargetId("one"), new ServiceId("s"), "10.0.0.1:80", A, 1, TargetPhase.READY, 0);
     state.setEvacuationGraceMs(2_000);
     tracker.onValue(value("a", 5));
-    assertThat(state.isDataCentreOpen(owner, true, clock.upper())).isFalse();
+    assertThat(state.isDataCentreOpen(OWNER, true, clock.upper())).isFalse();
   }
 
   @Test
