Draw no refusals where targets state their load

Cause: the holder has a percentage of the requests for an overloaded owner refused, drawn at random at each gateway, from the mean load of the last seconds. With two slots a target is free in between: keyed requests were refused while less than half of the slots were busy.

Change: services whose targets state how busy they are are left out.

Test: DispatcherTest.hotKeysOfTargetsThatStateTheirLoadAreNotRefusedAtRandom.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -19,6 +19,7 @@
 import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
@@ -78,6 +79,7 @@
   private final Map<ServiceId, PriorityQueue<SlotRequest>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeMsByRoute = new HashMap<>();
   private final Map<String, Double> meanResponseBytesByRoute = new HashMap<>();
+  private final Set<ServiceId> statingOccupancy = ConcurrentHashMap.newKeySet();
   private final Set<TargetId> replaced = new HashSet<>();
   private final List<TargetId> unreportedReplaced = new ArrayList<>();
   private long nextOrder;
@@ -119,9 +121,19 @@
     refusal.ifPresent(request::refused);
   }
 
-  /** Returns whether to shed a request, since the owner of its key range is overloaded. */
+  /** Records that the targets of a service state in their answers how busy they are. */
+  void onOccupancyStated(ServiceId service) {
+    statingOccupancy.add(service);
+  }
+
+  /**
+   * Returns whether to shed a request at random, since the owner of its key range is overloaded.
+   *
+   * <p>Not for services whose targets state how busy they are: the mean load of the last seconds
+   * would refuse requests for which a slot is free.
+   */
   boolean shouldShed(SlotRequest request) {
-    if (request.key().isEmpty()) {
+    if (request.key().isEmpty() || statingOccupancy.contains(request.service())) {
       return false;
     }
     int refusedPercent =
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -177,6 +177,8 @@
     }
     if (!signals.isFromOtherThan(slot.target().id().name())) {
       occupancy = signals.occupancy();
+      occupancy.ifPresent(
+          stated -> services.dispatcher().onOccupancyStated(slot.target().service()));
       services.signals().onAnswer(slot.target(), signals, sentMs);
     }
     Content.Source.asByteArrayAsync(response.body(), MAX_RESPONSE_BYTES)
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -154,6 +154,18 @@
     assertThat(dispatcher.shouldShed(request("two", 1, OptionalInt.empty(), 0))).isFalse();
   }
 
+  /** Hot keys make the mean load of an owner exceed its slots, which are free in between. */
+  @Test
+  void hotKeysOfTargetsThatStateTheirLoadAreNotRefusedAtRandom() {
+    KeyOwners owners = new KeyOwners(List.of(new RangeRoute(0, 65_535, NEAR, true, 95)));
+    state.update(s -> s.withOwners(Map.of(SERVICE, owners), new OwnersVersion(1, 1)));
+    dispatcher.onOccupancyStated(SERVICE);
+    SlotRequest keyed = request("one", 1, OptionalInt.of(7), 0);
+    for (int i = 0; i < 100; i++) {
+      assertThat(dispatcher.shouldShed(keyed)).isFalse();
+    }
+  }
+
   @Test
   void ownersWithLimitsGetWhatTheHolderGrants() {
     setTargets(target(NEAR, LOCAL, TargetPhase.READY));
