--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/EvacuationTracker.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/EvacuationTracker.java
@@ -28,6 +28,8 @@
    */
   static final long KEPT_AFTER_RESTORE_MS = 5_000;
 
+  private static final String CHANGE = "data_centre={} revision={} targets={}";
+
   private final Function<byte[], Set<DataCentreId>> decoder;
   private final RoutingState state;
   private final ControlThread control;
@@ -84,23 +86,24 @@
     // The value that is applied here has not been confirmed yet, so this is an earlier time.
     Evacuations applied = known.with(next, state.configurationConfirmed(), clock.nowMs());
     state.update(snapshot -> snapshot.withEvacuations(applied));
-    logChange("data_centre_evacuated", next, known.dataCentres());
-    logChange("data_centre_returned", known.dataCentres(), next);
+    for (DataCentreId id : difference(next, known.dataCentres())) {
+      log.write("data_centre_evacuated", CHANGE, id, revision, targetsIn(id));
+    }
+    for (DataCentreId id : difference(known.dataCentres(), next)) {
+      log.write("data_centre_returned", CHANGE, id, revision, targetsIn(id));
+    }
   }
 
-  private void logChange(String event, Set<DataCentreId> in, Set<DataCentreId> without) {
-    Set<DataCentreId> changed = new HashSet<>(in);
-    changed.removeAll(without);
-    for (DataCentreId id : changed) {
-      log.write(
-          event,
-          "data_centre={} revision={} targets={}",
-          id,
-          revision,
-          state.current().targets().stream()
-              .map(FleetTarget::dataCentre)
-              .filter(id::equals)
-              .count());
-    }
+  private static Set<DataCentreId> difference(Set<DataCentreId> in, Set<DataCentreId> without) {
+    Set<DataCentreId> difference = new HashSet<>(in);
+    difference.removeAll(without);
+    return difference;
+  }
+
+  private long targetsIn(DataCentreId id) {
+    return state.current().targets().stream()
+        .map(FleetTarget::dataCentre)
+        .filter(id::equals)
+        .count();
   }
 }
