Simplify the check of evacuations, and share what stood twice

Cause: on reading the change again, the dispatcher read the clock that counts suspensions for every keyed request, although it is needed only while a data centre is evacuated. A grace of -1 stood for "owns no key". Sending a missed configuration stood twice in FleetLink, recording a cold target twice in TargetQuotas, removing ended limits twice in ColdTargets, and the injection of faults in two quota tests. DirectoryValue.encode went through a map whose keys were arrays. The store port did not say that a key may name a directory.

Change: each stands once; the clock is a supplier that is called only if the data centre is evacuated; a request without a key has no grace at all, where a grace of -1 ms still permitted it if the clock had been read before the evacuation became known.

Tests: QuotaFleet.injectFault draws the same numbers in the same order as the two copies did. EvacuationTrackerTest passes suppliers.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/quota/ColdTargets.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/quota/ColdTargets.java
@@ -35,7 +35,7 @@
     Limit known = limits.get(target);
     boolean later = untilMs > nowMs && (known == null || known.untilMs() < untilMs);
     if (later) {
-      limits.values().removeIf(limit -> limit.untilMs() <= nowMs);
+      removeEnded(nowMs);
       if (limits.size() < MAX_TARGETS) {
         limits.put(target, new Limit(perS, untilMs));
       }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -481,23 +481,21 @@
     confirmTargets(heartbeat, helloSent);
     configuration.onHeard(
         heartbeat.configurationRevision(), helloSent.minusMs(heartbeat.configurationAgeMs()));
-    sendMissedConfiguration(holder, heartbeat.configurationRevision());
+    if (deputies.mustFollowStore()) {
+      // A holder that has just started may not see in the store what was removed before, and its
+      // older revision would confirm nothing to others.
+      sendMissedConfiguration(holder, heartbeat.configurationRevision());
+    }
     if (state.current().processes() != heartbeat.processes()) {
       state.update(snapshot -> snapshot.withProcesses(Math.max(1, heartbeat.processes())));
     }
   }
 
-  /**
-   * Sends the configuration to a holder that lacks it. A holder that has just started may not see
-   * in the store what was removed before, and its older revision would confirm nothing to others.
-   */
-  private void sendMissedConfiguration(PeerChannel holder, long knownRevision) {
-    if (deputies.mustFollowStore()) {
-      configuration
-          .missingFrom(knownRevision)
-          .ifPresent(
-              value -> holder.send(new ConfigurationUpdate(value.revision(), value.value())));
-    }
+  /** Sends the configuration to a gateway that should have it by now. */
+  private void sendMissedConfiguration(PeerChannel peer, long knownRevision) {
+    configuration
+        .missingFrom(knownRevision)
+        .ifPresent(value -> peer.send(new ConfigurationUpdate(value.revision(), value.value())));
   }
 
   /**
@@ -642,9 +640,7 @@
     crashes.onHello(sender, hello);
     quotas.onHello(sender, hello);
     departures.onHello(sender, hello);
-    configuration
-        .missingFrom(hello.configurationRevision())
-        .ifPresent(value -> sender.send(new ConfigurationUpdate(value.revision(), value.value())));
+    sendMissedConfiguration(sender, hello.configurationRevision());
   }
 
   private void answerAsHolder(PeerChannel sender, FleetHello hello, TermCoordinator holder) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -330,7 +330,7 @@
   }
 
   private boolean isUsableOwner(FleetTarget owner) {
-    return owner.isReady() && state.isDataCentreOpen(owner, true, clock.upper());
+    return owner.isReady() && state.isDataCentreOpen(owner, true, clock::upper);
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -92,7 +92,8 @@
   private ConditionStatus dataCentreOpen(UpperTime now) {
     // Evacuations are confirmed together with the configuration; read before them.
     UpperTime asOf = services.state().configurationConfirmed();
-    boolean open = services.state().isDataCentreOpen(slot.target(), call.key().isPresent(), now);
+    boolean open =
+        services.state().isDataCentreOpen(slot.target(), call.key().isPresent(), () -> now);
     return ConditionStatus.heard(
         open, asOf, effectiveMaxAgeMs(services.state().configurationMaxAgeMs()));
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
@@ -68,12 +69,13 @@
    *
    * @param target the target; not null
    * @param ownsKey whether it is the owner of the request's key
-   * @param now the current time; not null
+   * @param now returns the current time, called only if its data centre is evacuated; not null
    * @return false if its data centre is evacuated
    */
-  public boolean isDataCentreOpen(FleetTarget target, boolean ownsKey, UpperTime now) {
-    long graceMs = ownsKey ? evacuationGraceMs : -1;
-    return snapshot.evacuations().permitsOwner(target.dataCentre(), now, graceMs);
+  public boolean isDataCentreOpen(FleetTarget target, boolean ownsKey, Supplier<UpperTime> now) {
+    Evacuations evacuations = snapshot.evacuations();
+    return !evacuations.includes(target.dataCentre())
+        || (ownsKey && evacuations.permitsOwner(target.dataCentre(), now.get(), evacuationGraceMs));
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetQuotas.java
@@ -85,13 +85,7 @@
    * @param coldMs for how long it is still cold; milliseconds
    */
   public void onCold(TargetId target, ServiceId service, double perS, long coldMs) {
-    boolean changes;
-    synchronized (this) {
-      long nowMs = clock.nowMs();
-      changes = coldTargets.onCold(target, perS, nowMs + coldMs, nowMs);
-      anyLimit |= changes;
-    }
-    if (changes) {
+    if (onReportedCold(target, perS, coldMs)) {
       log.write("target_cold", "target={} limit_per_s={} for_ms={}", target, perS, coldMs);
       onCold.run();
       timers.schedule(() -> onWarm(service), coldMs + 1);
@@ -104,10 +98,13 @@
    * @param target the run of the target; not null
    * @param perS requests per second from all gateways together; above 0
    * @param coldMs for how long it is still cold; milliseconds
+   * @return whether its limit began or lasts longer than known
    */
-  public synchronized void onReportedCold(TargetId target, double perS, long coldMs) {
+  public synchronized boolean onReportedCold(TargetId target, double perS, long coldMs) {
     long nowMs = clock.nowMs();
-    anyLimit |= coldTargets.onCold(target, perS, nowMs + coldMs, nowMs);
+    boolean changes = coldTargets.onCold(target, perS, nowMs + coldMs, nowMs);
+    anyLimit |= changes;
+    return changes;
   }
 
   /**
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ColdTargetFleetTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ColdTargetFleetTest.java
@@ -45,7 +45,7 @@
       QuotaFleet fleet = new QuotaFleet(size, random);
       long sinceMs = fleet.nowMs();
       fleet.becomeCold(BOUND.issuedPerS(COLD_PER_S), COLD_MS);
-      drive(fleet, size, random, COLD_MS, () -> injectFault(fleet, size, random));
+      drive(fleet, size, random, COLD_MS, () -> fleet.injectFault(random));
       assertWithMessage("seed " + seed)
           .that((double) fleet.maxRequestsIn(1_000, sinceMs))
           .isAtMost(MOST_IN_ONE_SECOND);
@@ -90,14 +90,4 @@
       }
     }
   }
-
-  private static void injectFault(QuotaFleet fleet, int size, Random random) {
-    int gateway = random.nextInt(size);
-    switch (random.nextInt(4)) {
-      case 0 -> fleet.loseHolder();
-      case 1 -> fleet.restart(gateway);
-      case 2 -> fleet.cutOff(gateway, gateway != fleet.holder());
-      default -> fleet.cutOff(gateway, false);
-    }
-  }
 }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/EvacuationTrackerTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/EvacuationTrackerTest.java
@@ -56,9 +56,9 @@
     state.setEvacuationGraceMs(2_000);
     state.watch(() -> clock.upper().minusMs(1_500), () -> 1_000, () -> false);
     tracker.onValue(value("a", 5));
-    assertThat(state.isDataCentreOpen(OWNER, true, clock.upper().plusMs(500))).isTrue();
-    assertThat(state.isDataCentreOpen(OWNER, true, clock.upper().plusMs(501))).isFalse();
-    assertThat(state.isDataCentreOpen(OWNER, false, clock.upper())).isFalse();
+    assertThat(state.isDataCentreOpen(OWNER, true, () -> clock.upper().plusMs(500))).isTrue();
+    assertThat(state.isDataCentreOpen(OWNER, true, () -> clock.upper().plusMs(501))).isFalse();
+    assertThat(state.isDataCentreOpen(OWNER, false, () -> clock.upper())).isFalse();
   }
 
   /** A process that has just started does not know for how long a data centre is evacuated. */
@@ -66,7 +66,7 @@
   void startedProcessesGrantNoGrace() {
     state.setEvacuationGraceMs(2_000);
     tracker.onValue(value("a", 5));
-    assertThat(state.isDataCentreOpen(OWNER, true, clock.upper())).isFalse();
+    assertThat(state.isDataCentreOpen(OWNER, true, () -> clock.upper())).isFalse();
   }
 
   @Test
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/QuotaCoordinatorTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/QuotaCoordinatorTest.java
@@ -43,7 +43,7 @@
       Random random = new Random(seed);
       QuotaFleet fleet = limitedFleet(perS, size, random);
       long sinceMs = fleet.nowMs();
-      drive(fleet, 4 * perS, size, random, 60_000, () -> injectFault(fleet, size, random));
+      drive(fleet, 4 * perS, size, random, 60_000, () -> fleet.injectFault(random));
       assertWithMessage("seed " + seed)
           .that((double) fleet.maxRequestsIn4s(sinceMs))
           .isAtMost(allowed(perS));
@@ -135,16 +135,6 @@
     }
   }
 
-  private static void injectFault(QuotaFleet fleet, int size, Random random) {
-    int gateway = random.nextInt(size);
-    switch (random.nextInt(4)) {
-      case 0 -> fleet.loseHolder();
-      case 1 -> fleet.restart(gateway);
-      case 2 -> fleet.cutOff(gateway, gateway != fleet.holder());
-      default -> fleet.cutOff(gateway, false);
-    }
-  }
-
   /** Returns 1.5 times the number of requests that the limit allows in 4 s, plus 5. */
   private static double allowed(double perS) {
     return 1.5 * 4 * perS + 5;
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/QuotaFleet.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/QuotaFleet.java
@@ -111,6 +111,17 @@
     members.get(gateway).cut = cut;
   }
 
+  /** Loses the holder, or restarts, cuts off or reconnects a gateway, as the generator draws. */
+  void injectFault(Random faults) {
+    int gateway = faults.nextInt(members.size());
+    switch (faults.nextInt(4)) {
+      case 0 -> loseHolder();
+      case 1 -> restart(gateway);
+      case 2 -> cutOff(gateway, gateway != holder);
+      default -> cutOff(gateway, false);
+    }
+  }
+
   void restart(int gateway) {
     if (gateway != holder) {
       members.set(gateway, new Member(gateway));
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/DirectoryValue.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/DirectoryValue.java
@@ -2,10 +2,10 @@
 
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
+import java.io.ByteArrayOutputStream;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -55,17 +55,18 @@
    *     never null
    */
   public byte[] encode() {
-    int size = 0;
-    Map<byte[], byte[]> encoded = new LinkedHashMap<>();
-    for (Map.Entry<String, byte[]> entry : entries.entrySet()) {
-      byte[] name = entry.getKey().getBytes(StandardCharsets.UTF_8);
-      encoded.put(name, entry.getValue());
-      size += 2 * Integer.BYTES + name.length + entry.getValue().length;
-    }
-    ByteBuffer buffer = ByteBuffer.allocate(size);
-    encoded.forEach(
-        (name, value) -> buffer.putInt(name.length).put(name).putInt(value.length).put(value));
-    return buffer.array();
+    ByteArrayOutputStream encoded = new ByteArrayOutputStream();
+    entries.forEach(
+        (name, value) -> {
+          append(name.getBytes(StandardCharsets.UTF_8), encoded);
+          append(value, encoded);
+        });
+    return encoded.toByteArray();
+  }
+
+  private static void append(byte[] bytes, ByteArrayOutputStream encoded) {
+    encoded.writeBytes(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+    encoded.writeBytes(bytes);
   }
 
   /**
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/store/KeyValueStore.java
@@ -9,6 +9,9 @@
  * <p>Every future completes normally, within a bounded time, with a result that carries its
  * outcome. Futures complete on a thread of the implementation: switch to the control thread.
  *
+ * <p>A key that ends with a slash names a directory, which implementations may support for reads
+ * and watches only: its value is a {@link DirectoryValue}.
+ *
  * @since 0.1
  */
 public interface KeyValueStore {
