Log requests taken while stopping, and what is left at the end of a stop

Cause: the logs could not tell whether a request taken late came on a new connection, nor what was in progress at the end of a stop.

Change: event request_taken_while_stopping with the time since the stop began, the time left and the age of the connection; stopped counts requests by phase. RequestInProgress bundles what the handler passed in five parameters; no decision depends on it.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.cuminvalve.gateway.observe.UnknownFields;
 import io.cuminvalve.gateway.traffic.GatewayServer;
 import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.gateway.traffic.StopProgress;
 import io.cuminvalve.kernel.BootClock;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
@@ -61,7 +62,7 @@
   private final RoutingState state = new RoutingState(INITIAL_GATEWAY_COUNT);
   private final GatewayServer server;
   private final FleetControl fleet;
-  private volatile boolean stopping;
+  private final StopProgress stop = new StopProgress(clock);
 
   /**
    * Creates a gateway that is not started.
@@ -88,7 +89,7 @@
             unknownFields,
             metricsPage,
             this::isReady,
-            () -> stopping);
+            stop);
     this.fleet =
         new FleetControl(
             guarded, settings, sharedKey, state, control, clock, log, server.reports());
@@ -188,7 +189,7 @@
    * @return false before the configuration and the targets are known and after shutdown has begun
    */
   public boolean isReady() {
-    return !stopping && state.current().isUsable();
+    return !stop.isStopping() && state.current().isUsable();
   }
 
   /**
@@ -207,12 +208,11 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void stop() throws InterruptedException {
-    final long startMs = clock.nowMs();
-    stopping = true;
+    stop.begin();
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
-    while (clock.nowMs() - startMs < settings.stopLimitMs()) {
-      if (clock.nowMs() - startMs >= settings.stopNoticeMs()) {
+    while (stop.sinceMs() < settings.stopLimitMs()) {
+      if (stop.sinceMs() >= settings.stopNoticeMs()) {
         server.closeIdleConnections();
         if (server.inFlight() == 0) {
           break;
@@ -220,7 +220,12 @@
       }
       Thread.sleep(STOP_POLL_MS);
     }
-    log.write("stopped", "in_flight={} after_ms={}", server.inFlight(), clock.nowMs() - startMs);
+    log.write(
+        "stopped",
+        "in_flight={} {} after_ms={}",
+        server.inFlight(),
+        server.inFlightByPhase(),
+        stop.sinceMs());
     fleet.retire();
     close();
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -7,7 +7,6 @@
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.router.request.Timers;
 import io.cuminvalve.router.target.TargetClient;
-import java.util.function.BooleanSupplier;
 
 /**
  * The services shared by all exchanges.
@@ -29,7 +28,7 @@
  * @param headers the names of the header fields; not null
  * @param log the decision log; not null
  * @param metrics counts requests; not null
- * @param stopping returns whether this process is shutting down; not null
+ * @param stop whether this process is stopping; not null
  */
 record ExchangeServices(
     RoutingState state,
@@ -49,4 +48,4 @@
     RequestHeaders headers,
     DecisionLog log,
     RequestMetrics metrics,
-    BooleanSupplier stopping) {}
+    StopProgress stop) {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -298,7 +298,7 @@
         complete.status(),
         CallerHeaders.passedOn(complete.headers()),
         complete.body(),
-        services.stopping().getAsBoolean(),
+        services.stop().isStopping(),
         Callback.from(call.callback(), onEnded));
   }
 
@@ -310,7 +310,7 @@
         call.response(),
         status,
         retryAfterMs,
-        services.stopping().getAsBoolean(),
+        services.stop().isStopping(),
         Callback.from(call.callback(), onEnded));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -38,6 +38,7 @@
   private final RandomGenerator random;
   private final StartupRequestBuffer startupBuffer;
   private final Set<EndPoint> busyEndPoints = ConcurrentHashMap.newKeySet();
+  private final RequestsInProgress requests = new RequestsInProgress();
 
   GatewayHandler(ExchangeServices services, RandomGenerator random) {
     this.services = services;
@@ -57,84 +58,101 @@
     return busyEndPoints.size();
   }
 
+  /** Returns how many requests without a response are in each phase, for the log. */
+  String inFlightByPhase() {
+    return requests.summary();
+  }
+
   /** Returns whether a request of a connection has been read and not answered. */
   boolean isBusy(EndPoint endPoint) {
     return busyEndPoints.contains(endPoint);
   }
 
-  private static EndPoint endPointOf(Request request) {
-    return request.getConnectionMetaData().getConnection().getEndPoint();
-  }
-
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    UpperTime arrived = earliestArrival(request);
+    RequestInProgress inProgress =
+        new RequestInProgress(requests, request, response, callback, earliestArrival(request));
+    requests.add(inProgress);
     Optional<RoutingConfiguration> configuration = services.state().current().configuration();
     if (configuration.isPresent()) {
-      route(request, response, callback, configuration.get(), arrived);
-      return true;
+      route(inProgress, configuration.get());
+    } else {
+      hold(inProgress);
     }
+    return true;
+  }
+
+  private void hold(RequestInProgress inProgress) {
     Runnable refusal =
-        () ->
-            refuse(
-                request, response, CallerResponseWriter.UNAVAILABLE, "no_configuration", callback);
-    boolean held = startupBuffer.hold(() -> resume(request, response, callback, arrived), refusal);
-    if (!held) {
+        () -> refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "no_configuration");
+    inProgress.enter(RequestPhase.HELD);
+    if (!startupBuffer.hold(() -> resume(inProgress), refusal)) {
       refusal.run();
     }
-    return true;
   }
 
   /** Returns the earliest time at which the request may have reached this host. */
   private UpperTime earliestArrival(Request request) {
     UpperTime now = services.clock().upper();
-    if (endPointOf(request) instanceof CallerEndPoint caller) {
+    if (RequestInProgress.endPointOf(request) instanceof CallerEndPoint caller) {
       UpperTime arrived = caller.arrivedAfter(request.getBeginNanoTime());
       return arrived.latest(now.minusMs(MAX_CALLER_WAIT_MS));
     }
     return now;
   }
 
-  private void resume(Request request, Response response, Callback callback, UpperTime arrived) {
-    RoutingConfiguration configuration = services.state().current().configuration().orElseThrow();
-    route(request, response, callback, configuration, arrived);
+  private void resume(RequestInProgress inProgress) {
+    route(inProgress, services.state().current().configuration().orElseThrow());
   }
 
-  private void route(
-      Request request,
-      Response response,
-      Callback callback,
-      RoutingConfiguration configuration,
-      UpperTime arrived) {
+  private void route(RequestInProgress inProgress, RoutingConfiguration configuration) {
+    Request request = inProgress.request();
     Optional<Route> route =
         configuration.find(CallerRequest.hostOf(request), request.getHttpURI().getPath());
     if (route.isEmpty()) {
-      refuseUnknown(request, response, callback);
+      refuseUnknown(inProgress);
       return;
     }
-    if (services.clock().upper().sinceMs(arrived) >= timeLimitMs(request, route.get())) {
-      refuse(request, response, CallerResponseWriter.UNAVAILABLE, "read_too_late", callback);
+    UpperTime deadline = inProgress.arrived().plusMs(timeLimitMs(request, route.get()));
+    if (services.clock().upper().sinceMs(deadline) >= 0) {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "read_too_late");
       return;
     }
     if (request.getLength() > configuration.bounds().maxBodyBytes()) {
-      refuse(request, response, CallerResponseWriter.TOO_LARGE, "body_too_large", callback);
+      refuse(inProgress, CallerResponseWriter.TOO_LARGE, "body_too_large");
       return;
     }
-    busyEndPoints.add(endPointOf(request));
+    logIfStopping(inProgress, deadline);
+    busyEndPoints.add(inProgress.endPoint());
     if (hasBody(request)) {
-      readBody(request, response, callback, configuration, route.get(), arrived);
+      readBody(inProgress, configuration, route.get());
     } else {
-      begin(request, response, callback, configuration, route.get(), arrived, new byte[0]);
+      begin(inProgress, configuration, route.get(), new byte[0]);
+    }
+  }
+
+  private void logIfStopping(RequestInProgress inProgress, UpperTime deadline) {
+    if (!services.stop().isStopping()) {
+      return;
     }
+    long connectionAgeMs = System.currentTimeMillis() - inProgress.endPoint().getCreatedTimeStamp();
+    services
+        .log()
+        .write(
+            "request_taken_while_stopping",
+            "id={} since_stop_ms={} time_left_ms={} connection_age_ms={}",
+            inProgress.request().getHeaders().get(services.headers().attemptId()),
+            services.stop().sinceMs(),
+            deadline.sinceMs(services.clock().upper()),
+            connectionAgeMs);
   }
 
   /** Responds with 404 only if the configuration is current: a newer one may have the route. */
-  private void refuseUnknown(Request request, Response response, Callback callback) {
+  private void refuseUnknown(RequestInProgress inProgress) {
     if (services.state().isConfigurationCurrent(services.clock().upper())) {
-      refuse(request, response, CallerResponseWriter.NOT_FOUND, "no_route", callback);
+      refuse(inProgress, CallerResponseWriter.NOT_FOUND, "no_route");
     } else {
-      refuse(
-          request, response, CallerResponseWriter.UNAVAILABLE, "configuration_outdated", callback);
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "configuration_outdated");
     }
   }
 
@@ -143,51 +161,44 @@
   }
 
   private void readBody(
-      Request request,
-      Response response,
-      Callback callback,
-      RoutingConfiguration configuration,
-      Route route,
-      UpperTime arrived) {
+      RequestInProgress inProgress, RoutingConfiguration configuration, Route route) {
     int limit = (int) Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
-    Content.Source.asByteArrayAsync(request, limit)
+    inProgress.enter(RequestPhase.READING);
+    Content.Source.asByteArrayAsync(inProgress.request(), limit)
         .whenComplete(
             (body, failure) -> {
               if (failure == null) {
-                begin(request, response, callback, configuration, route, arrived, body);
+                begin(inProgress, configuration, route, body);
               } else {
-                busyEndPoints.remove(endPointOf(request));
-                callback.failed(failure);
+                busyEndPoints.remove(inProgress.endPoint());
+                inProgress.callback().failed(failure);
               }
             });
   }
 
   private void begin(
-      Request request,
-      Response response,
-      Callback callback,
-      RoutingConfiguration configuration,
-      Route route,
-      UpperTime arrived,
-      byte[] body) {
+      RequestInProgress inProgress, RoutingConfiguration configuration, Route route, byte[] body) {
+    Request request = inProgress.request();
     ServiceId service = route.choose(random.nextDouble());
     String attemptId = request.getHeaders().get(services.headers().attemptId());
+    EndPoint endPoint = inProgress.endPoint();
     OptionalInt key = OptionalInt.empty();
     if (configuration.isKeyed(service)) {
       key = keyOf(request);
       if (key.isEmpty()) {
-        busyEndPoints.remove(endPointOf(request));
-        refuse(request, response, CallerResponseWriter.BAD_REQUEST, "no_key", callback);
+        busyEndPoints.remove(endPoint);
+        refuse(inProgress, CallerResponseWriter.BAD_REQUEST, "no_key");
         return;
       }
     }
+    UpperTime arrived = inProgress.arrived();
     long timeLimitMs = timeLimitMs(request, route);
     long arrivedMs = services.clock().nowMs() - services.clock().upper().sinceMs(arrived);
     CallerRequest call =
         new CallerRequest(
             request,
-            response,
-            callback,
+            inProgress.response(),
+            inProgress.callback(),
             attemptId == null ? "" : attemptId,
             route,
             service,
@@ -199,7 +210,7 @@
             arrivedMs + timeLimitMs,
             arrived.plusMs(timeLimitMs),
             configuration.version());
-    EndPoint endPoint = endPointOf(request);
+    inProgress.enter(RequestPhase.FORWARDING);
     new GatewayExchange(services, call, () -> busyEndPoints.remove(endPoint)).start();
   }
 
@@ -244,8 +255,9 @@
     }
   }
 
-  private void refuse(
-      Request request, Response response, int status, String reason, Callback callback) {
+  private void refuse(RequestInProgress inProgress, int status, String reason) {
+    Request request = inProgress.request();
+    inProgress.enter(RequestPhase.ANSWERING);
     services
         .log()
         .write(
@@ -257,7 +269,8 @@
             status,
             reason);
     long retryAfterMs = status == CallerResponseWriter.UNAVAILABLE ? RETRY_AFTER_MS : 0;
-    boolean closeConnection = services.stopping().getAsBoolean();
-    CallerResponseWriter.writeEmpty(response, status, retryAfterMs, closeConnection, callback);
+    boolean closeConnection = services.stop().isStopping();
+    CallerResponseWriter.writeEmpty(
+        inProgress.response(), status, retryAfterMs, closeConnection, inProgress.callback());
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -73,7 +73,7 @@
    * @param unknownFields counts unknown header fields of responses; not null
    * @param page the metrics page; not null
    * @param ready returns whether callers may be directed to this gateway; not null
-   * @param stopping returns whether this process is shutting down; not null
+   * @param stop whether this process is stopping; not null
    */
   public GatewayServer(
       GatewaySettings settings,
@@ -85,7 +85,7 @@
       UnknownFields unknownFields,
       MetricsPage page,
       BooleanSupplier ready,
-      BooleanSupplier stopping) {
+      StopProgress stop) {
     SplittableRandom random = new SplittableRandom();
     this.client =
         new TargetClient(
@@ -127,7 +127,7 @@
             settings.headers(),
             log,
             metrics,
-            stopping);
+            stop);
     this.reports =
         new TrafficReports(
             keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
@@ -233,6 +233,15 @@
     return handler.inFlight();
   }
 
+  /**
+   * Returns how many requests without a response are in each phase.
+   *
+   * @return pairs {@code phase=count} for the log; never null
+   */
+  public String inFlightByPhase() {
+    return handler.inFlightByPhase();
+  }
+
   /**
    * Returns the reports on the traffic.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -86,7 +86,7 @@
             unknown,
             new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
             () -> true,
-            () -> false);
+            new StopProgress(clock));
     server.start();
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -99,7 +99,7 @@
             new RequestHeaders("attempt", "deadline", "target", "key"),
             log,
             new RequestMetrics(),
-            () -> false);
+            new StopProgress(clock));
     this.reports =
         new TrafficReports(
             keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
