--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -33,6 +33,8 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
 
 /** The request path of a gateway up to the first byte of a request, without sockets. */
 public final class TrafficFixture {
@@ -68,8 +70,15 @@
 
   /** Creates the traffic of a gateway; its timers never run. */
   public TrafficFixture(RoutingState state, MillisClock clock) {
+    this(state, clock, true);
+  }
+
+  /** Creates the traffic of a gateway that may not know a configuration yet. */
+  TrafficFixture(RoutingState state, MillisClock clock, boolean configured) {
     this.clock = clock;
-    state.update(snapshot -> snapshot.withConfiguration(CONFIGURATION));
+    if (configured) {
+      state.update(snapshot -> snapshot.withConfiguration(CONFIGURATION));
+    }
     state.watch(clock::upper, () -> 1_900, () -> false);
     DecisionLog log = new DecisionLog(clock, 1, line -> {});
     Timers timers = (task, delayMs) -> () -> {};
@@ -105,6 +114,40 @@
             keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
   }
 
+  /** Creates the handler of callers' requests. */
+  GatewayHandler handler() {
+    return new GatewayHandler(services, new SplittableRandom(4));
+  }
+
+  /** Hands a request to a handler; all come on the same connection. */
+  void handle(GatewayHandler handler, Callback completion) {
+    handler.handle(request(), response(), completion);
+  }
+
+  /** Ends a request that was not sent to a target. */
+  void endUnsent(Callback completion, Runnable onEnded) {
+    GatewayExchange exchange = new GatewayExchange(services, call(completion), onEnded);
+    exchange.onRefused(TargetRefusal.forEvacuation(new TargetId("a"), 1_000));
+  }
+
+  private CallerRequest call(Callback completion) {
+    return new CallerRequest(
+        request(),
+        response(),
+        completion,
+        "one",
+        ROUTE,
+        SERVICE,
+        OptionalInt.empty(),
+        IDENTITY,
+        HttpFields.EMPTY,
+        new byte[0],
+        clock.nowMs(),
+        DEADLINE_MS,
+        clock.upper().plusMs(DEADLINE_MS),
+        CONFIGURATION.version());
+  }
+
   /** Returns the reports for the link to the fleet. */
   public TrafficReports reports() {
     return reports;
@@ -190,23 +233,7 @@
 
     /** Like {@link #begins}, for a request that may have run on some targets before. */
     boolean beginsAfter(int runs) {
-      CallerRequest call =
-          new CallerRequest(
-              request(),
-              null,
-              null,
-              "one",
-              slotRequest.route(),
-              SERVICE,
-              OptionalInt.empty(),
-              IDENTITY,
-              HttpFields.EMPTY,
-              new byte[0],
-              clock.nowMs(),
-              DEADLINE_MS,
-              clock.upper().plusMs(DEADLINE_MS),
-              CONFIGURATION.version());
-      return new TargetAttempt(services, call, slotRequest, slot, runs, 0, null)
+      return new TargetAttempt(services, call(null), slotRequest, slot, runs, 0, null)
           .onConnection(HttpFields.build());
     }
   }
@@ -229,6 +256,20 @@
             metaData));
   }
 
+  private static Response response() {
+    HttpFields.Mutable headers = HttpFields.build();
+    return (Response)
+        Proxy.newProxyInstance(
+            TrafficFixture.class.getClassLoader(),
+            new Class<?>[] {Response.class},
+            (proxy, method, arguments) -> {
+              if (method.getName().equals("write")) {
+                ((Callback) arguments[2]).succeeded();
+              }
+              return method.getName().equals("getHeaders") ? headers : null;
+            });
+  }
+
   private static <T> T stub(Class<T> type, Map<String, Object> returnValues) {
     return type.cast(
         Proxy.newProxyInstance(
