Take only requests that end before the stop, and end what is left

Cause: GatewayServer.closeIdleConnections closed the connector, which has no acceptor threads and so goes on accepting. A stopping gateway took and sent requests until its process ended, and the server library failed those left at the limit with 500. Marks of requests were removed after the response was complete, when the next request of the connection may have begun; requests held or refused had none; the check for the last request and the stop of the server were two steps.

Change: StopPolicy takes every request until callers are redirected, later only those whose time limit ends before the stop; the same rule is the send condition ENDS_BEFORE_STOP of every attempt. Connections are accepted until the end. RequestsInProgress counts requests from the moment they are handed over, and decides on admission in one step with the count and with the closing of idle connections. Connections are closed as idle after a second without a byte, or at the end.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
@@ -45,6 +45,7 @@
   private static final String RESTING = "target_resting";
 
   private static final String STUCK_KEY = "key_stuck";
+  private static final String STOP_LIMIT = "stop_limit";
   private static final String EVACUATED = "service_evacuated";
 
   private final ExchangeProfile profile;
@@ -227,21 +228,17 @@
    * @return the effects to apply; never null
    */
   public List<ExchangeEffect> onDeadline(boolean handedOver) {
-    if (done) {
-      return List.of();
-    }
-    mayHaveRun |= sending && handedOver;
-    List<ExchangeEffect> effects = new ArrayList<>();
-    effects.add(new ExchangeEffect.CancelSlotRequest());
-    effects.add(
-        mayHaveRun
-            ? new ExchangeEffect.GiveUp(true, "timeout")
-            : new ExchangeEffect.Refuse(RETRY_AFTER_MS, "timeout_unsent"));
-    if (sending) {
-      effects.add(new ExchangeEffect.Abandon(true));
-    }
-    done = true;
-    return effects;
+    return done ? List.of() : endNow(handedOver, "timeout", "timeout_unsent", true);
+  }
+
+  /**
+   * Handles the end of a stop of this process, which leaves the request no more time.
+   *
+   * @param handedOver whether any byte of the current attempt may have reached the target
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onStopLimit(boolean handedOver) {
+    return done ? List.of() : endNow(handedOver, STOP_LIMIT, STOP_LIMIT, false);
   }
 
   /**
@@ -319,6 +316,23 @@
     return profile.deadlineMs() - nowMs > SAME_OWNER_RETRY_DELAY_MS;
   }
 
+  /** Ends a request that may have an attempt in progress. */
+  private List<ExchangeEffect> endNow(
+      boolean handedOver, String reason, String unsentReason, boolean late) {
+    mayHaveRun |= sending && handedOver;
+    List<ExchangeEffect> effects = new ArrayList<>();
+    effects.add(new ExchangeEffect.CancelSlotRequest());
+    effects.add(
+        mayHaveRun
+            ? new ExchangeEffect.GiveUp(true, reason)
+            : new ExchangeEffect.Refuse(RETRY_AFTER_MS, unsentReason));
+    if (sending) {
+      effects.add(new ExchangeEffect.Abandon(late));
+    }
+    done = true;
+    return effects;
+  }
+
   private List<ExchangeEffect> end(String reason) {
     return end(reason, reason.endsWith("_busy") ? BUSY_RETRY_AFTER_MS : RETRY_AFTER_MS);
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendCondition.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/send/SendCondition.java
@@ -30,6 +30,9 @@
   /** The caller's timeout, counted from the earliest arrival of the request, is not over. */
   TIME_LEFT(REQUEST),
 
+  /** This process is not stopping, or the request ends before the end of the stop. */
+  ENDS_BEFORE_STOP(REQUEST),
+
   /**
    * No other run is known to answer at the target's address. Releases do not depend on this: they
    * grant no keys, and the answer shows which target is at the address.
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeStateMachineTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/exchange/ExchangeStateMachineTest.java
@@ -60,6 +60,28 @@
         .containsExactly(new ExchangeEffect.GiveUp(false, "quarantined"));
   }
 
+  @Test
+  void theStopLimitPromisesNotRunOnlyIfNothingWasSent() {
+    ExchangeStateMachine waiting = machine(true, false);
+    waiting.onStart(false, 0);
+    assertThat(waiting.onStopLimit(false))
+        .containsExactly(
+            new ExchangeEffect.CancelSlotRequest(), new ExchangeEffect.Refuse(250, "stop_limit"))
+        .inOrder();
+    assertThat(waiting.onStopLimit(false)).isEmpty();
+    ExchangeStateMachine running = sent(true, false);
+    assertThat(running.onStopLimit(true))
+        .containsExactly(
+            new ExchangeEffect.CancelSlotRequest(),
+            new ExchangeEffect.GiveUp(true, "stop_limit"),
+            new ExchangeEffect.Abandon(false))
+        .inOrder();
+    ExchangeStateMachine ranBefore = sent(true, false);
+    ranBefore.onFailure(true, "reset", 10);
+    assertThat(ranBefore.onStopLimit(false))
+        .contains(new ExchangeEffect.GiveUp(true, "stop_limit"));
+  }
+
   @Test
   void runsOnAtMostMaxAttemptsTargets() {
     ExchangeStateMachine machine = sent(true, false);
--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/stop/StopPolicyTest.java
@@ -0,0 +1,48 @@
+package io.cuminvalve.core.stop;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+
+class StopPolicyTest {
+
+  private static final long NOTICE_MS = 2_300;
+  private static final long LIMIT_MS = 5_600;
+  private static final long END_MS = LIMIT_MS - StopPolicy.ANSWER_RESERVE_MS;
+  private static final long NEVER_MS = Long.MAX_VALUE / 4;
+
+  private final StopPolicy policy = new StopPolicy(NOTICE_MS, LIMIT_MS);
+
+  @Test
+  void everyRequestIsTakenBeforeTheNotice() {
+    assertThat(policy.admits(0, NEVER_MS)).isTrue();
+    assertThat(policy.admits(NOTICE_MS - 1, NEVER_MS)).isTrue();
+    assertThat(policy.isNoticeOver(NOTICE_MS - 1)).isFalse();
+  }
+
+  @Test
+  void onlyRequestsThatEndBeforeTheStopAreTakenAfterwards() {
+    assertThat(policy.admits(NOTICE_MS, END_MS)).isTrue();
+    assertThat(policy.admits(NOTICE_MS, END_MS + 1)).isFalse();
+    assertThat(policy.admits(END_MS - 1, END_MS)).isTrue();
+    assertThat(policy.isNoticeOver(NOTICE_MS)).isTrue();
+  }
+
+  @Test
+  void requestsEndWhileThereIsTimeToAnswerThem() {
+    assertThat(policy.requestsEndMs()).isLessThan(LIMIT_MS);
+    assertThat(policy.requestsEndMs()).isAtLeast(NOTICE_MS);
+  }
+
+  @Test
+  void stopsWithoutTimeAfterTheNoticeEndRequestsAtTheNotice() {
+    assertThat(new StopPolicy(100, 150).requestsEndMs()).isEqualTo(100);
+  }
+
+  @Test
+  void theLimitCannotComeBeforeTheNotice() {
+    assertThrows(IllegalArgumentException.class, () -> new StopPolicy(100, 99));
+    assertThrows(IllegalArgumentException.class, () -> new StopPolicy(-1, 99));
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway;
 
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.gateway.control.FleetControl;
 import io.cuminvalve.gateway.control.StoreCircuitBreaker;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -48,6 +49,10 @@
   private static final long UNUSABLE_STORE_BACKOFF_MS = 500;
 
   private static final long STOP_POLL_MS = 20;
+
+  /** A caller that has opened a connection or read a response sends a request within this time. */
+  private static final long SETTLED_MS = 1_000;
+
   private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
@@ -62,7 +67,7 @@
   private final RoutingState state = new RoutingState(INITIAL_GATEWAY_COUNT);
   private final GatewayServer server;
   private final FleetControl fleet;
-  private final StopProgress stop = new StopProgress(clock);
+  private final StopProgress stop;
 
   /**
    * Creates a gateway that is not started.
@@ -74,6 +79,7 @@
   public Gateway(
       GatewaySettings settings, SharedKey sharedKey, Function<StoreCallGuard, GatewayPorts> ports) {
     this.settings = settings;
+    this.stop = new StopProgress(clock, settings.stopPolicy());
     state.setEvacuationGraceMs(settings.evacuationGraceMs());
     StoreCircuitBreaker circuitBreaker =
         new StoreCircuitBreaker(clock, storeCalls, new SplittableRandom(), this::maxStoreBackoffMs);
@@ -203,7 +209,8 @@
 
   /**
    * Shuts down gracefully: releases the term, continues to serve until callers have been redirected
-   * and requests have completed, then closes all components.
+   * and requests have completed, then closes all components. Requests that are left at the limit
+   * are ended by this gateway before that.
    *
    * @throws InterruptedException if the thread is interrupted
    */
@@ -211,15 +218,8 @@
     stop.begin();
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
-    while (stop.sinceMs() < settings.stopLimitMs()) {
-      if (stop.sinceMs() >= settings.stopNoticeMs()) {
-        server.closeIdleConnections();
-        if (server.inFlight() == 0) {
-          break;
-        }
-      }
-      Thread.sleep(STOP_POLL_MS);
-    }
+    awaitRequests(settings.stopPolicy());
+    awaitResponses(settings.stopPolicy());
     log.write(
         "stopped",
         "in_flight={} {} after_ms={}",
@@ -230,6 +230,29 @@
     close();
   }
 
+  /** Waits until callers have been redirected and requests have completed, or the limit. */
+  private void awaitRequests(StopPolicy policy) throws InterruptedException {
+    while (stop.sinceMs() < policy.requestsEndMs()) {
+      if (policy.isNoticeOver(stop.sinceMs())) {
+        server.closeConnectionsIdleFor(SETTLED_MS);
+        if (server.closeIfIdle()) {
+          return;
+        }
+      }
+      Thread.sleep(STOP_POLL_MS);
+    }
+    log.write("stop_limit_reached", "in_flight={} {}", server.inFlight(), server.inFlightByPhase());
+    server.endRequests();
+  }
+
+  /** Waits until the responses of requests that were ended or refused have been written. */
+  private void awaitResponses(StopPolicy policy) throws InterruptedException {
+    while (server.inFlight() > 0 && stop.sinceMs() < policy.limitMs()) {
+      Thread.sleep(STOP_POLL_MS);
+    }
+    server.closeIdleConnections();
+  }
+
   /** Closes all components immediately, without waiting for requests in progress. */
   public void close() {
     server.stop();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.lease.LeaseTimings;
 import io.cuminvalve.core.quota.ColdBound;
+import io.cuminvalve.core.stop.StopPolicy;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -64,4 +65,13 @@
   public GatewaySettings {
     seedPeers = List.copyOf(seedPeers);
   }
+
+  /**
+   * Returns which requests are taken during a shutdown.
+   *
+   * @return never null
+   */
+  public StopPolicy stopPolicy() {
+    return new StopPolicy(Math.min(stopNoticeMs, stopLimitMs), stopLimitMs);
+  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -170,7 +170,7 @@
     switch (obstacle.condition()) {
       case CALLER_PRESENT -> onCallerGone();
       case TIME_LEFT -> decide(() -> machine.onDeadline(false));
-      case ROUTE_IN_FORCE -> decide(() -> machine.onNoSlot(obstacle.label()));
+      case ROUTE_IN_FORCE, ENDS_BEFORE_STOP -> decide(() -> machine.onNoSlot(obstacle.label()));
       case QUARANTINE_CLEAR -> endIfQuarantined(Math.max(1, quarantinedForMs()));
       default -> onTargetUnusable(obstacle);
     }
@@ -190,6 +190,11 @@
     decide(() -> machine.onDeadline(currentAttempt != null && !currentAttempt.preventHandover()));
   }
 
+  /** Ends the request, if it has not ended, since this process ends. */
+  void onStopLimit() {
+    decide(() -> machine.onStopLimit(currentAttempt != null && !currentAttempt.preventHandover()));
+  }
+
   private void onCallerGone() {
     decide(machine::onCallerGone);
   }
@@ -260,7 +265,7 @@
     if (late) {
       attempt.onTimedOut();
     }
-    attempt.abandon(late ? "timeout" : "the caller disconnected");
+    attempt.abandon(late ? "timeout" : "the request has ended");
   }
 
   private void end(ExchangeEffect last) {
@@ -280,11 +285,7 @@
     } else {
       count(RequestOutcome.CALLER_GONE);
       log("caller_gone", currentAttempt, "closed");
-      try {
-        call.callback().failed(new CallerGoneException());
-      } finally {
-        onEnded.run();
-      }
+      Callback.from(onEnded, call.callback()).failed(new CallerGoneException());
     }
   }
 
@@ -299,7 +300,7 @@
         CallerHeaders.passedOn(complete.headers()),
         complete.body(),
         services.stop().isStopping(),
-        Callback.from(call.callback(), onEnded));
+        Callback.from(onEnded, call.callback()));
   }
 
   private void respond(int status, long retryAfterMs, String reason) {
@@ -311,7 +312,7 @@
         status,
         retryAfterMs,
         services.stop().isStopping(),
-        Callback.from(call.callback(), onEnded));
+        Callback.from(onEnded, call.callback()));
   }
 
   /** Counts the load of refused requests; without it the owner of a hot key would look idle. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -10,8 +10,6 @@
 import io.cuminvalve.router.caller.CallerHeaders;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.Content;
@@ -29,6 +27,7 @@
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
 
   private static final long RETRY_AFTER_MS = 250;
+  private static final String STOPPING = "stopping";
   private static final int KEY_LIMIT = 65_536;
 
   /** Upper bound for the time since the arrival of a request; no caller waits this long. */
@@ -37,7 +36,6 @@
   private final ExchangeServices services;
   private final RandomGenerator random;
   private final StartupRequestBuffer startupBuffer;
-  private final Set<EndPoint> busyEndPoints = ConcurrentHashMap.newKeySet();
   private final RequestsInProgress requests = new RequestsInProgress();
 
   GatewayHandler(ExchangeServices services, RandomGenerator random) {
@@ -55,7 +53,7 @@
 
   /** Returns the number of requests that have been read and not answered. */
   int inFlight() {
-    return busyEndPoints.size();
+    return requests.size();
   }
 
   /** Returns how many requests without a response are in each phase, for the log. */
@@ -63,18 +61,31 @@
     return requests.summary();
   }
 
-  /** Returns whether a request of a connection has been read and not answered. */
-  boolean isBusy(EndPoint endPoint) {
-    return busyEndPoints.contains(endPoint);
+  /** Admits no more requests if there is none. Returns whether none is admitted from now on. */
+  boolean closeIfIdle() {
+    return requests.closeIfEmpty();
+  }
+
+  /** Admits no more requests, and ends those in progress with responses of this gateway. */
+  void endRequests() {
+    requests.close();
+    requests.endAll();
+  }
+
+  /** Admits no more requests of a connection without one. Returns whether it may be closed now. */
+  boolean claimIdle(EndPoint connection) {
+    return requests.claimIdle(connection);
   }
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
     RequestInProgress inProgress =
         new RequestInProgress(requests, request, response, callback, earliestArrival(request));
-    requests.add(inProgress);
+    boolean admitted = requests.add(inProgress);
     Optional<RoutingConfiguration> configuration = services.state().current().configuration();
-    if (configuration.isPresent()) {
+    if (!admitted) {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, STOPPING);
+    } else if (configuration.isPresent()) {
       route(inProgress, configuration.get());
     } else {
       hold(inProgress);
@@ -85,7 +96,7 @@
   private void hold(RequestInProgress inProgress) {
     Runnable refusal =
         () -> refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "no_configuration");
-    inProgress.enter(RequestPhase.HELD);
+    inProgress.enter(RequestPhase.HELD, () -> refuseAtStopLimit(inProgress));
     if (!startupBuffer.hold(() -> resume(inProgress), refusal)) {
       refusal.run();
     }
@@ -122,8 +133,11 @@
       refuse(inProgress, CallerResponseWriter.TOO_LARGE, "body_too_large");
       return;
     }
+    if (!services.stop().admits(deadline)) {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, STOPPING);
+      return;
+    }
     logIfStopping(inProgress, deadline);
-    busyEndPoints.add(inProgress.endPoint());
     if (hasBody(request)) {
       readBody(inProgress, configuration, route.get());
     } else {
@@ -163,14 +177,15 @@
   private void readBody(
       RequestInProgress inProgress, RoutingConfiguration configuration, Route route) {
     int limit = (int) Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
-    inProgress.enter(RequestPhase.READING);
+    if (!inProgress.enter(RequestPhase.READING, () -> refuseAtStopLimit(inProgress))) {
+      return;
+    }
     Content.Source.asByteArrayAsync(inProgress.request(), limit)
         .whenComplete(
             (body, failure) -> {
               if (failure == null) {
                 begin(inProgress, configuration, route, body);
-              } else {
-                busyEndPoints.remove(inProgress.endPoint());
+              } else if (inProgress.enterAnswering()) {
                 inProgress.callback().failed(failure);
               }
             });
@@ -181,12 +196,10 @@
     Request request = inProgress.request();
     ServiceId service = route.choose(random.nextDouble());
     String attemptId = request.getHeaders().get(services.headers().attemptId());
-    EndPoint endPoint = inProgress.endPoint();
     OptionalInt key = OptionalInt.empty();
     if (configuration.isKeyed(service)) {
       key = keyOf(request);
       if (key.isEmpty()) {
-        busyEndPoints.remove(endPoint);
         refuse(inProgress, CallerResponseWriter.BAD_REQUEST, "no_key");
         return;
       }
@@ -210,8 +223,10 @@
             arrivedMs + timeLimitMs,
             arrived.plusMs(timeLimitMs),
             configuration.version());
-    inProgress.enter(RequestPhase.FORWARDING);
-    new GatewayExchange(services, call, () -> busyEndPoints.remove(endPoint)).start();
+    GatewayExchange exchange = new GatewayExchange(services, call, inProgress::end);
+    if (inProgress.enter(RequestPhase.FORWARDING, exchange::onStopLimit)) {
+      exchange.start();
+    }
   }
 
   private static RequestIdentity identityOf(Request request, OptionalInt key, byte[] body) {
@@ -256,8 +271,17 @@
   }
 
   private void refuse(RequestInProgress inProgress, int status, String reason) {
+    if (inProgress.enterAnswering()) {
+      writeRefusal(inProgress, status, reason);
+    }
+  }
+
+  private void refuseAtStopLimit(RequestInProgress inProgress) {
+    writeRefusal(inProgress, CallerResponseWriter.UNAVAILABLE, "stop_limit");
+  }
+
+  private void writeRefusal(RequestInProgress inProgress, int status, String reason) {
     Request request = inProgress.request();
-    inProgress.enter(RequestPhase.ANSWERING);
     services
         .log()
         .write(
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -22,6 +22,7 @@
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.IdleTimeout;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -210,20 +211,49 @@
   }
 
   /**
-   * Accepts no new connections and closes those without a request in progress.
+   * Closes all connections without a request in progress. New connections are accepted until the
+   * server stops: a caller that is still directed here gets a response sooner than elsewhere.
    *
    * <p>A caller that sends a request at that moment finds its connection closed and can tell that
    * the request was not read.
    */
   public void closeIdleConnections() {
-    callers.close();
+    closeConnectionsIdleFor(0);
+  }
+
+  /**
+   * Like {@link #closeIdleConnections}, but spares connections that were used recently, on which a
+   * request may be on its way.
+   *
+   * @param idleMs the time without a byte after which a connection is closed; milliseconds
+   */
+  public void closeConnectionsIdleFor(long idleMs) {
     for (EndPoint endPoint : callers.getConnectedEndPoints()) {
-      if (!handler.isBusy(endPoint)) {
+      boolean settled =
+          !(endPoint instanceof IdleTimeout connection) || connection.getIdleFor() >= idleMs;
+      if (settled && handler.claimIdle(endPoint)) {
         endPoint.close();
       }
     }
   }
 
+  /**
+   * Refuses all further requests if none is in progress.
+   *
+   * @return whether all further requests are refused
+   */
+  public boolean closeIfIdle() {
+    return handler.closeIfIdle();
+  }
+
+  /**
+   * Refuses all further requests and ends those in progress: with 503 if they were not sent to a
+   * target, else with 504. The responses may be written later than this returns.
+   */
+  public void endRequests() {
+    handler.endRequests();
+  }
+
   /**
    * Returns the number of requests without a response.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -63,6 +63,7 @@
     return switch (condition) {
       case ATTEMPT_OPEN -> ConditionStatus.local(open.getAsBoolean(), now);
       case TIME_LEFT -> ConditionStatus.local(call.deadline().sinceMs(now) > 0, now);
+      case ENDS_BEFORE_STOP -> ConditionStatus.local(services.stop().admits(call.deadline()), now);
       case TARGET_RUNS -> ConditionStatus.local(!services.dispatcher().isReplaced(target), now);
       case TARGET_SERVES -> targetServes(target);
       case DATA_CENTRE_OPEN -> dataCentreOpen(now);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
@@ -12,11 +12,14 @@
  */
 final class RequestInProgress {
 
+  private final RequestsInProgress all;
   private final Request request;
   private final Response response;
   private final Callback callback;
   private final UpperTime arrived;
   private volatile RequestPhase phase = RequestPhase.ANSWERING;
+  private Runnable ender = () -> {};
+  private boolean endedEarly;
 
   /**
    * Creates a request in progress.
@@ -35,7 +38,8 @@
       UpperTime arrived) {
     this.request = request;
     this.response = response;
-    this.callback = Callback.from(() -> all.remove(this), callback);
+    this.all = all;
+    this.callback = Callback.from(this::end, callback);
     this.arrived = arrived;
   }
 
@@ -65,11 +69,45 @@
     return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
+  /** Removes the request from those in progress; has no effect the second time. */
+  void end() {
+    all.remove(this);
+  }
+
   RequestPhase phase() {
     return phase;
   }
 
-  void enter(RequestPhase next) {
-    phase = next;
+  /**
+   * Enters the next phase.
+   *
+   * @param next the phase; not null
+   * @param onEndEarly writes the response if the request has to end in this phase; not null
+   * @return false if the request was ended early, so that nothing more may be done for it
+   */
+  synchronized boolean enter(RequestPhase next, Runnable onEndEarly) {
+    if (!endedEarly) {
+      phase = next;
+      ender = onEndEarly;
+    }
+    return !endedEarly;
+  }
+
+  /** Enters the last phase. Returns false if the request was ended early. */
+  boolean enterAnswering() {
+    return enter(RequestPhase.ANSWERING, () -> {});
+  }
+
+  /** Ends the request with a response of this gateway, unless a response is being written. */
+  void endEarly() {
+    Runnable chosen;
+    synchronized (this) {
+      if (endedEarly) {
+        return;
+      }
+      endedEarly = true;
+      chosen = ender;
+    }
+    chosen.run();
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/StopProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/StopProgress.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.Optional;
@@ -12,15 +13,18 @@
 public final class StopProgress {
 
   private final MillisClock clock;
+  private final StopPolicy policy;
   private volatile Optional<UpperTime> began = Optional.empty();
 
   /**
    * Creates the progress of a process that is not stopping.
    *
    * @param clock the time; not null
+   * @param policy decides which requests are still taken; not null
    */
-  public StopProgress(MillisClock clock) {
+  public StopProgress(MillisClock clock, StopPolicy policy) {
     this.clock = clock;
+    this.policy = policy;
   }
 
   /** Begins the stop. */
@@ -37,6 +41,18 @@
     return began.isPresent();
   }
 
+  /**
+   * Returns whether a request may be taken, or sent to a target.
+   *
+   * @param deadline the end of its time limit; not null
+   * @return false if the stop has begun and would not leave it enough time
+   */
+  public boolean admits(UpperTime deadline) {
+    return began
+        .map(since -> policy.admits(clock.upper().sinceMs(since), deadline.sinceMs(since)))
+        .orElse(true);
+  }
+
   /**
    * Returns the time since the begin of the stop.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -86,7 +86,7 @@
             unknown,
             new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
             () -> true,
-            new StopProgress(clock));
+            new StopProgress(clock, settings().stopPolicy()));
     server.start();
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.WeightedService;
 import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.observe.RequestMetrics;
@@ -108,7 +109,7 @@
             new RequestHeaders("attempt", "deadline", "target", "key"),
             log,
             new RequestMetrics(),
-            new StopProgress(clock));
+            new StopProgress(clock, new StopPolicy(1_000, 10_000)));
     this.reports =
         new TrafficReports(
             keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
@@ -238,7 +239,7 @@
     }
   }
 
-  private static Request request() {
+  static Request request() {
     EndPoint endPoint = stub(EndPoint.class, Map.of("isOpen", true));
     Connection connection = stub(Connection.class, Map.of("getEndPoint", endPoint));
     ConnectionMetaData metaData =
