Add the types that relaying by peers needs

Cause: a gateway without a path to the targets cannot serve its callers; peers that reach the targets could. The parts of this (who reaches what, the relay itself) meet in a few types.

Change: RelayPeer, RoutingState.relayPeers, TrafficReports.relayAddress and the refusal cause UNREACHABLE. Nothing uses them yet.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -130,7 +130,7 @@
             stopping);
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
+            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector, () -> "");
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress(), clock);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import java.util.OptionalLong;
@@ -26,6 +27,7 @@
   private volatile Supplier<UpperTime> configurationConfirmed = () -> UpperTime.NEVER;
   private volatile LongSupplier configurationMaxAgeMs = () -> 0;
   private volatile BooleanSupplier storeSilent = () -> false;
+  private volatile List<RelayPeer> relayPeers = List.of();
 
   /**
    * Creates a state without configuration, targets and owners.
@@ -173,6 +175,24 @@
     return movesBlockedSinceMs;
   }
 
+  /**
+   * Sets the gateways that can reach targets for this one.
+   *
+   * @param peers the gateways, this one not among them; not null
+   */
+  public void setRelayPeers(List<RelayPeer> peers) {
+    relayPeers = List.copyOf(peers);
+  }
+
+  /**
+   * Returns the gateways that can reach targets for this one.
+   *
+   * @return in no particular order; empty if none is known; never null
+   */
+  public List<RelayPeer> relayPeers() {
+    return relayPeers;
+  }
+
   /**
    * Adds a listener that is called on the control thread after each change.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
@@ -21,7 +21,13 @@
     /** It owns the key but cannot run the request, and the key cannot move for now. */
     STUCK_KEY,
     /** All targets of the service are in evacuated data centres. */
-    EVACUATED
+    EVACUATED,
+    /** This gateway has no path to any target that may run the request. */
+    UNREACHABLE
+  }
+
+  static TargetRefusal forUnreachable(TargetId target, long retryAfterMs) {
+    return new TargetRefusal(target, Cause.UNREACHABLE, 0, retryAfterMs);
   }
 
   static TargetRefusal forEvacuation(TargetId target, long retryAfterMs) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 
 /**
  * Collects the measurements of the traffic for the holder of the term.
@@ -22,6 +23,7 @@
   private final TargetDepartures departures;
   private final RequestQuarantine quarantine;
   private final CrashDetector crashDetector;
+  private final Supplier<String> relayAddress;
 
   TrafficReports(
       KeyLoadMeter keyLoad,
@@ -30,7 +32,8 @@
       TargetBackoffs backoffs,
       TargetDepartures departures,
       RequestQuarantine quarantine,
-      CrashDetector crashDetector) {
+      CrashDetector crashDetector,
+      Supplier<String> relayAddress) {
     this.keyLoad = keyLoad;
     this.dispatcher = dispatcher;
     this.quotas = quotas;
@@ -38,6 +41,7 @@
     this.departures = departures;
     this.quarantine = quarantine;
     this.crashDetector = crashDetector;
+    this.relayAddress = relayAddress;
   }
 
   /**
@@ -112,6 +116,15 @@
     return dispatcher.takeLatencies();
   }
 
+  /**
+   * Returns where this gateway takes requests from gateways that have no path to targets.
+   *
+   * @return IP address and port; empty if it takes none; never null
+   */
+  public String relayAddress() {
+    return relayAddress.get();
+  }
+
   /**
    * Returns the targets found replaced since the last call.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -102,7 +102,7 @@
             () -> false);
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
+            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector, () -> "");
   }
 
   /** Returns the reports for the link to the fleet. */
