Decide on requests that are forwarded to peers

Cause: a gateway without a path to the targets can only refuse its callers, though its peers reach the targets.

Change: ExchangeStateMachine knows a refusal UNREACHABLE, the effect ForwardToPeer, and what a peer can answer: an answer of a target, a refusal that proves that the request did not run, or a failure. At most three peers are tried. A peer is allowed half of the attempts that are left, and one that fails without a word counts as having used all of them, so that max_attempts holds whatever gets lost.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeEffect.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeEffect.java
@@ -20,6 +20,9 @@
   /** Send the request to the target whose slot was acquired. */
   record Send() implements ExchangeEffect {}
 
+  /** Forward the request to a peer that has a path to the targets and has not been tried. */
+  record ForwardToPeer() implements ExchangeEffect {}
+
   /** Return the slot unused because it arrived after the final answer. */
   record ReturnSlot() implements ExchangeEffect {}
 
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
@@ -34,6 +34,9 @@
   /** Number of attempts that provably did not run after which a request is refused. */
   private static final int MAX_REFUSALS = 4;
 
+  /** Number of peers to which one request is forwarded at most. */
+  private static final int MAX_FORWARDS = 3;
+
   /** The lowest HTTP status that counts as a failure of the target. */
   private static final int FIRST_ERROR_STATUS = 500;
 
@@ -46,6 +49,8 @@
 
   private static final String STUCK_KEY = "key_stuck";
   private static final String EVACUATED = "service_evacuated";
+  private static final String UNREACHABLE = "targets_unreachable";
+  private static final String REFUSED_BY_PEER = "refused_by_peer";
 
   private final ExchangeProfile profile;
   private final BooleanSupplier retryBudget;
@@ -54,6 +59,8 @@
   private boolean mayHaveRun;
   private int runs;
   private int refusals;
+  private int forwards;
+  private int forwardedLimit;
 
   /**
    * Creates the state machine of one request.
@@ -63,8 +70,23 @@
    *     available; not null
    */
   public ExchangeStateMachine(ExchangeProfile profile, BooleanSupplier retryBudget) {
+    this(profile, retryBudget, 0);
+  }
+
+  /**
+   * Creates the state machine of a request that a peer forwarded.
+   *
+   * @param profile the properties of the request; not null
+   * @param retryBudget takes one retry from the shared budget and returns whether one was
+   *     available; not null
+   * @param earlierRuns the number of targets on which it may have run before; they count against
+   *     the maximum number of attempts, but a refusal says nothing about them
+   */
+  public ExchangeStateMachine(
+      ExchangeProfile profile, BooleanSupplier retryBudget, int earlierRuns) {
     this.profile = profile;
     this.retryBudget = retryBudget;
+    this.runs = earlierRuns;
   }
 
   /**
@@ -156,6 +178,91 @@
     return done ? List.of() : end(EVACUATED, retryAfterMs);
   }
 
+  /**
+   * Handles a gateway that has no path to any target that may run the request.
+   *
+   * @param peerKnown whether a peer that has one is known
+   * @param retryAfterMs delay after which a retry may succeed; milliseconds
+   * @param nowMs the current time; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onUnreachable(boolean peerKnown, long retryAfterMs, long nowMs) {
+    if (done) {
+      return List.of();
+    }
+    return mayForward(peerKnown, nowMs) ? forward() : end(UNREACHABLE, retryAfterMs);
+  }
+
+  /**
+   * Handles a complete answer of a target that a peer passed on.
+   *
+   * @param status the HTTP status
+   * @param runsThere the number of targets on which the request may have run, as the peer knows
+   * @param peerKnown whether a peer is known that has not been tried
+   * @param nowMs the current time; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onPeerAnswer(
+      int status, int runsThere, boolean peerKnown, long nowMs) {
+    if (done) {
+      return List.of();
+    }
+    sending = false;
+    mayHaveRun = true;
+    runs = Math.max(runs + 1, runsThere);
+    boolean failed = status >= FIRST_ERROR_STATUS;
+    if (failed && !profile.keyed() && mayForward(peerKnown, nowMs) && mayRetry(nowMs)) {
+      return forward();
+    }
+    done = true;
+    return List.of(new ExchangeEffect.Relay(failed));
+  }
+
+  /**
+   * Handles a peer that has not run the request and will not run it, or that cannot be reached.
+   *
+   * @param refusalsThere the number of attempts of the peer that provably did not run
+   * @param retryAfterMs delay after which a retry may succeed; milliseconds
+   * @param peerKnown whether a peer is known that has not been tried
+   * @param nowMs the current time; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onPeerRefusal(
+      int refusalsThere, long retryAfterMs, boolean peerKnown, long nowMs) {
+    if (done) {
+      return List.of();
+    }
+    sending = false;
+    refusals += Math.max(1, refusalsThere);
+    // Targets that refused the request have received it, so the next one counts as a retry.
+    boolean tryNext =
+        refusals < MAX_REFUSALS
+            && mayForward(peerKnown, nowMs)
+            && (refusalsThere == 0 || retryBudget.getAsBoolean());
+    return tryNext ? forward() : end(REFUSED_BY_PEER, retryAfterMs);
+  }
+
+  /**
+   * Handles a peer that received the request and sent no usable answer.
+   *
+   * @param runsThere the number of targets on which it may have run, as the peer knows; 0 if it did
+   *     not say, which counts as all that it was allowed
+   * @param reason the reason, for the log; not null
+   * @param peerKnown whether a peer is known that has not been tried
+   * @param nowMs the current time; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onPeerFailure(
+      int runsThere, String reason, boolean peerKnown, long nowMs) {
+    if (done) {
+      return List.of();
+    }
+    sending = false;
+    mayHaveRun = true;
+    runs = runsThere == 0 ? forwardedLimit : Math.max(runs + 1, runsThere);
+    return mayForward(peerKnown, nowMs) && mayRetry(nowMs) ? forward() : end(reason);
+  }
+
   /**
    * Handles a complete answer of the target, which proves that the request ran.
    *
@@ -281,6 +388,16 @@
     return runs;
   }
 
+  /**
+   * Returns the number of targets on which the request may have run when the peer to which it is
+   * forwarded is done with it.
+   *
+   * @return more than {@link #runs()}; 0 if it was not forwarded
+   */
+  public int forwardedLimit() {
+    return forwardedLimit;
+  }
+
   /**
    * Returns the number of attempts that provably did not run.
    *
@@ -308,6 +425,18 @@
     return List.of(beforeRetry, acquireSlot(nowMs));
   }
 
+  private boolean mayForward(boolean peerKnown, long nowMs) {
+    return peerKnown && forwards < MAX_FORWARDS && hasTime(nowMs);
+  }
+
+  private List<ExchangeEffect> forward() {
+    forwards++;
+    sending = true;
+    // Half of the attempts that are left: a peer that fails without a word has used all of its own.
+    forwardedLimit = runs + Math.max(1, (profile.maxAttempts() - runs + 1) / 2);
+    return List.of(new ExchangeEffect.ForwardToPeer());
+  }
+
   private boolean mayRetry(long nowMs) {
     return profile.idempotent()
         && runs < profile.maxAttempts()
