Have peers send the requests of a gateway without a path to the targets

Cause: a gateway that has lost its links to all targets refuses its callers, or lets them wait, while its peers reach the targets.

The peer handles it like a request of its own callers, but never relays it on, does not count it in the retry budget, goes on with the number of runs, and admits 64 at a time. Its answer repeats an id that is new for each attempt and says whether a target served the request, whether it did not run, or may have. Anything else may have run. Each relayed request has a connection of its own, since one that was used before may have gone silent. Requests are counted by outcome on both sides. Test: RelayTest, on real servers and sockets: before, a refusal UNREACHABLE ended every request with 503. The refusal itself is still made by the test.

Conclusion: a step; nothing makes a gateway refuse as UNREACHABLE, or tells it of peers, yet.

--- a/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
+++ b/cuminvalve-cli/src/main/java/io/cuminvalve/cli/story/Reasons.java
@@ -41,6 +41,12 @@
           Map.entry(
               "limit_unanswered",
               "the holder did not answer in time whether its target, which has a limit, takes it"),
+          Map.entry(
+              "targets_unreachable",
+              "this gateway had no path to its targets, and no peer was left that had one"),
+          Map.entry("refused_by_peer", "peers that were to send it refused to, and it did not run"),
+          Map.entry("peer_failed", "a peer that sent it got no usable answer"),
+          Map.entry("peer_broken", "the peer that was to send it gave no usable answer"),
           Map.entry("timeout", "its time was over while a target worked on it"),
           Map.entry("timeout_unsent", "its time was over before it was sent"),
           Map.entry("foreign_answer", "the target answered another request on its connection"),
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -87,6 +87,7 @@
             guarded.answers(),
             unknownFields,
             metricsPage,
+            sharedKey,
             this::isReady,
             () -> stopping);
     this.fleet =
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -17,6 +17,8 @@
  * @param readinessPath the path of the readiness endpoint; not null
  * @param peerHost the IP address to listen on for other gateways; not null
  * @param peerPort the port to listen on for other gateways; 0 for any free port
+ * @param relayPort the port to listen on for requests that other gateways relay; 0 for any free
+ *     port
  * @param headers the names of the header fields; not null
  * @param firstCandidate whether it tries to acquire a vacant term without delay
  * @param processorCores the number of cores it may use; processes with few cores wait longer before
@@ -46,6 +48,7 @@
     String readinessPath,
     String peerHost,
     int peerPort,
+    int relayPort,
     RequestHeaders headers,
     boolean firstCandidate,
     double processorCores,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
@@ -78,6 +78,18 @@
     all.metricSnapshot(
         counter(
             "cuminvalve_given_up", "Requests given up, by reason.", "reason", requests.givenUp()));
+    all.metricSnapshot(
+        counter(
+            "cuminvalve_forwarded",
+            "Attempts to have another gateway send a request, by outcome.",
+            "outcome",
+            requests.forwarded()));
+    all.metricSnapshot(
+        counter(
+            "cuminvalve_relayed",
+            "Requests of other gateways that were to be sent, by outcome.",
+            "outcome",
+            requests.relayed()));
     all.metricSnapshot(
         counter("cuminvalve_events", "Decisions, by event of the log.", "event", log.counts()));
     all.metricSnapshot(
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
@@ -30,6 +30,8 @@
   private final Map<String, RouteCounts> byRoute = new ConcurrentHashMap<>();
   private final RouteCounts sent = new RouteCounts();
   private final Map<String, LongAdder> refusals = new ConcurrentHashMap<>();
+  private final Map<String, LongAdder> forwarded = new ConcurrentHashMap<>();
+  private final Map<String, LongAdder> relayed = new ConcurrentHashMap<>();
 
   /**
    * Counts a completed request.
@@ -70,6 +72,42 @@
     refusals.computeIfAbsent(reason, name -> new LongAdder()).increment();
   }
 
+  /**
+   * Counts an attempt to have a peer send a request.
+   *
+   * @param outcome the outcome, one of a bounded set of names; not null
+   */
+  public void onForwarded(String outcome) {
+    forwarded.computeIfAbsent(outcome, name -> new LongAdder()).increment();
+  }
+
+  /**
+   * Counts a request that a peer relayed to this gateway.
+   *
+   * @param outcome the outcome, one of a bounded set of names; not null
+   */
+  public void onRelayed(String outcome) {
+    relayed.computeIfAbsent(outcome, name -> new LongAdder()).increment();
+  }
+
+  /**
+   * Returns the number of attempts at peers by outcome.
+   *
+   * @return never null
+   */
+  Map<String, LongAdder> forwarded() {
+    return forwarded;
+  }
+
+  /**
+   * Returns the number of requests of peers by outcome.
+   *
+   * @return never null
+   */
+  Map<String, LongAdder> relayed() {
+    return relayed;
+  }
+
   /**
    * Returns the counts of each route.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -6,8 +6,11 @@
 import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.router.caller.CallerEndPoint;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.OptionalInt;
+import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -64,6 +67,21 @@
         : endPoint.isOpen();
   }
 
+  /** Returns what the gateway said that relays this request; empty if it is an own caller's. */
+  Optional<RelayedRequest> relayed() {
+    return RelayedRequest.of(request);
+  }
+
+  /** Returns the body to send; null if the caller declared none. */
+  org.eclipse.jetty.client.Request.Content content() {
+    boolean declared =
+        request.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
+            || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    return declared
+        ? new BytesRequestContent(request.getHeaders().get(HttpHeader.CONTENT_TYPE), body)
+        : null;
+  }
+
   /** Returns the requested host name in lower case; empty if there is none. */
   String host() {
     return hostOf(request);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerResponseWriter.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerResponseWriter.java
@@ -37,6 +37,7 @@
       Callback callback) {
     response.setStatus(status);
     response.getHeaders().add(headers);
+    RelayedRequest.markOutcome(response, RelayOutcome.SERVED, 0);
     setConnectionClose(response, closeConnection);
     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
     response.write(true, ByteBuffer.wrap(body), callback);
@@ -54,6 +55,11 @@
       String seconds = String.format(Locale.ROOT, "%.2f", retryAfterMs / MS_PER_SECOND);
       response.getHeaders().put(HttpHeader.RETRY_AFTER, seconds);
     }
+    RelayOutcome outcome =
+        status == BAD_GATEWAY || status == GATEWAY_TIMEOUT
+            ? RelayOutcome.FAILED
+            : RelayOutcome.REFUSED;
+    RelayedRequest.markOutcome(response, outcome, retryAfterMs);
     setConnectionClose(response, closeConnection);
     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, 0);
     response.write(true, null, callback);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -8,18 +8,21 @@
 import io.cuminvalve.router.request.Timers;
 import io.cuminvalve.router.target.TargetClient;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 
 /**
  * The services shared by all exchanges.
  *
  * @param state the routing state; not null
  * @param dispatcher assigns slots; not null
+ * @param submission submits requests for slots to the dispatcher; not null
  * @param gate checks before the first byte whether a request may be sent; not null
  * @param departures tracks the targets that announced that they leave; not null
  * @param quotas tracks the rate limits of targets; not null
  * @param signals reads the signals of targets in their responses; not null
  * @param backoffs tracks the targets that asked for a back-off; not null
  * @param client the HTTP client for targets; not null
+ * @param relay has peers send requests; not null
  * @param budgets limit retries; not null
  * @param quarantine holds back requests that crash targets; not null
  * @param crashDetector detects during which requests targets end; not null
@@ -34,12 +37,14 @@
 record ExchangeServices(
     RoutingState state,
     Dispatcher dispatcher,
+    Consumer<SlotRequest> submission,
     SendGate gate,
     TargetDepartures departures,
     TargetQuotas quotas,
     SignalReader signals,
     TargetBackoffs backoffs,
     TargetClient client,
+    PeerRelay relay,
     RetryBudgets budgets,
     RequestQuarantine quarantine,
     CrashDetector crashDetector,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -23,12 +23,14 @@
  *
  * <p>Decisions are made under this object's monitor, effects are executed without it.
  */
-final class GatewayExchange implements TargetAttempt.Listener, SlotRequest.Listener {
+final class GatewayExchange
+    implements TargetAttempt.Listener, SlotRequest.Listener, PeerForwarding.Exchange {
 
   private final ExchangeServices services;
   private final CallerRequest call;
   private final SlotRequest slotRequest;
   private final ExchangeStateMachine machine;
+  private final PeerForwarding forwarding;
   private final Runnable onEnded;
   private final Map<String, Integer> attemptsByAddress = new HashMap<>();
 
@@ -44,7 +46,9 @@
     this.onEnded = onEnded;
     this.slotRequest =
         new SlotRequest(call.route(), call.service(), call.key(), call.body().length, this);
-    this.machine = new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget);
+    this.machine =
+        new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget, earlierRuns(call));
+    this.forwarding = new PeerForwarding(services, call, machine, this);
   }
 
   private static ExchangeProfile profileOf(CallerRequest call) {
@@ -52,14 +56,22 @@
     return new ExchangeProfile(
         route.idempotent(),
         call.key().isPresent(),
-        route.maxAttempts(),
+        Math.min(
+            route.maxAttempts(),
+            call.relayed().map(RelayedRequest::maxRuns).orElse(Integer.MAX_VALUE)),
         route.targetLatencyMs(),
         call.arrivedMs(),
         call.deadlineMs());
   }
 
+  private static int earlierRuns(CallerRequest call) {
+    return call.relayed().map(RelayedRequest::earlierRuns).orElse(0);
+  }
+
   void start() {
-    services.budgets().onRequest(call.service());
+    if (call.relayed().isEmpty()) {
+      services.budgets().onRequest(call.service());
+    }
     call.watchCaller(this::onCallerGone);
     long nowMs = services.clock().nowMs();
     deadlineTimer =
@@ -88,7 +100,10 @@
   @Override
   public void onRefused(TargetRefusal refusal) {
     slotWaitTimer.cancel();
-    recordUnservedLoad();
+    // The peer that serves a forwarded request counts its load.
+    if (refusal.cause() != TargetRefusal.Cause.UNREACHABLE || !forwarding.isPossible()) {
+      recordUnservedLoad();
+    }
     switch (refusal.cause()) {
       case REST -> {
         logRefusal("request_held_off", refusal, "");
@@ -102,6 +117,11 @@
         logRefusal("request_evacuated", refusal, "");
         decide(() -> machine.onServiceEvacuated(refusal.retryAfterMs()));
       }
+      case UNREACHABLE -> {
+        logRefusal("request_unreachable", refusal, "");
+        long nowMs = services.clock().nowMs();
+        decide(() -> machine.onUnreachable(forwarding.isPossible(), refusal.retryAfterMs(), nowMs));
+      }
       default -> {
         logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
         decide(() -> machine.onLimited(refusal.retryAfterMs()));
@@ -187,14 +207,28 @@
   }
 
   private void onDeadline() {
-    decide(() -> machine.onDeadline(currentAttempt != null && !currentAttempt.preventHandover()));
+    decide(() -> machine.onDeadline(isHandedOver()));
+  }
+
+  /** Returns whether sending may have begun; prevents it otherwise. */
+  private boolean isHandedOver() {
+    if (forwarding.hasBegun()) {
+      return !forwarding.preventHandover();
+    }
+    return currentAttempt != null && !currentAttempt.preventHandover();
   }
 
   private void onCallerGone() {
     decide(machine::onCallerGone);
   }
 
-  private void decide(Supplier<List<ExchangeEffect>> event) {
+  @Override
+  public void setResponse(PeerAnswer answer) {
+    response = new TargetAnswerBody(answer.status(), answer.headers(), answer.body());
+  }
+
+  @Override
+  public void decide(Supplier<List<ExchangeEffect>> event) {
     List<ExchangeEffect> effects;
     synchronized (this) {
       effects = event.get();
@@ -205,11 +239,13 @@
   private void execute(ExchangeEffect effect) {
     if (effect instanceof ExchangeEffect.AcquireSlot acquire) {
       slotWaitTimer = services.timers().schedule(this::onSlotWaitTimeout, acquire.patienceMs());
-      services.dispatcher().submit(slotRequest);
+      services.submission().accept(slotRequest);
     } else if (effect instanceof ExchangeEffect.CancelSlotRequest) {
       services.dispatcher().withdraw(slotRequest);
     } else if (effect instanceof ExchangeEffect.Send) {
       send();
+    } else if (effect instanceof ExchangeEffect.ForwardToPeer) {
+      forwarding.forward();
     } else if (effect instanceof ExchangeEffect.ReturnSlot) {
       services.dispatcher().release(slot, slotRequest, AttemptOutcome.GIVEN_UP, 0);
     } else if (effect instanceof ExchangeEffect.AvoidTarget) {
@@ -253,6 +289,7 @@
   }
 
   private void abandon(boolean late) {
+    forwarding.abandon(late ? "timeout" : "caller_gone");
     TargetAttempt attempt = currentAttempt;
     if (attempt == null) {
       return;
@@ -293,6 +330,7 @@
     count(failed ? RequestOutcome.FAILED_AT_TARGET : RequestOutcome.ANSWERED);
     String event = failed ? "request_failed_at_target" : "request_served";
     log(event, currentAttempt, "status_" + complete.status());
+    forwarding.addCounts();
     CallerResponseWriter.relay(
         call.response(),
         complete.status(),
@@ -306,6 +344,7 @@
     count(outcomeOf(status));
     services.metrics().onGivenUp(reason);
     log("request_given_up", currentAttempt, "status=" + status + " reason=" + reason);
+    forwarding.addCounts();
     CallerResponseWriter.writeEmpty(
         call.response(),
         status,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -170,7 +170,11 @@
       Route route,
       UpperTime arrived,
       byte[] body) {
-    ServiceId service = route.choose(random.nextDouble());
+    Optional<RelayedRequest> relayed = RelayedRequest.of(request);
+    ServiceId service =
+        relayed
+            .flatMap(known -> known.serviceOf(route))
+            .orElseGet(() -> route.choose(random.nextDouble()));
     String attemptId = request.getHeaders().get(services.headers().attemptId());
     OptionalInt key = OptionalInt.empty();
     if (configuration.isKeyed(service)) {
@@ -195,7 +199,7 @@
             identityOf(request, key, body),
             CallerHeaders.passedOn(request.getHeaders()),
             body,
-            arrivedMs,
+            arrivedMs - relayed.map(RelayedRequest::ageMs).orElse(0L),
             arrivedMs + timeLimitMs,
             arrived.plusMs(timeLimitMs),
             configuration.version());
@@ -211,7 +215,11 @@
             request.getHttpURI().getPathQuery(),
             key,
             body);
-    return new RequestIdentity(content, content.by(Request.getRemoteAddr(request)));
+    String caller =
+        RelayedRequest.of(request)
+            .map(RelayedRequest::caller)
+            .orElseGet(() -> Request.getRemoteAddr(request));
+    return new RequestIdentity(content, content.by(caller));
   }
 
   private OptionalInt keyOf(Request request) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.ports.http.DaemonThreadPool;
 import io.cuminvalve.router.caller.WatchingConnector;
 import io.cuminvalve.router.target.TargetClient;
@@ -19,6 +20,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
@@ -51,11 +53,24 @@
 
   private static final int TARGET_THREADS = 8;
 
+  /** A running gateway accepts within a few milliseconds; another peer is at hand. */
+  private static final long PEER_CONNECT_TIMEOUT_MS = 200;
+
+  /** Shorter than the time after which peers close idle connections. */
+  private static final long PEER_IDLE_MS = 5_000;
+
+  private static final int PEER_THREADS = 4;
+
+  /** Relayed heads are larger than those of callers and targets by the fields of the relay. */
+  private static final int MAX_RELAYED_HEADER_BYTES = MAX_HEADER_BYTES + 2 * 1024;
+
   private final Server server;
   private final ServerConnector callers;
+  private final ServerConnector relays;
   private final ServerConnector readiness;
   private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
+  private final TargetClient peerClient;
   private final RequestTimers timers = new RequestTimers();
   private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS);
   private final TrafficReports reports;
@@ -72,6 +87,7 @@
    * @param decoder decodes the signals in responses of targets; not null
    * @param unknownFields counts unknown header fields of responses; not null
    * @param page the metrics page; not null
+   * @param sharedKey authenticates the peers that relay requests; not null
    * @param ready returns whether callers may be directed to this gateway; not null
    * @param stopping returns whether this process is shutting down; not null
    */
@@ -84,27 +100,62 @@
       AnswerDecoder decoder,
       UnknownFields unknownFields,
       MetricsPage page,
+      SharedKey sharedKey,
       BooleanSupplier ready,
       BooleanSupplier stopping) {
+    this(
+        settings,
+        state,
+        clock,
+        log,
+        metrics,
+        decoder,
+        unknownFields,
+        page,
+        sharedKey,
+        ready,
+        stopping,
+        Dispatcher::submit);
+  }
+
+  /** Creates a server whose requests for slots are submitted in the given way. */
+  GatewayServer(
+      GatewaySettings settings,
+      RoutingState state,
+      MillisClock clock,
+      DecisionLog log,
+      RequestMetrics metrics,
+      AnswerDecoder decoder,
+      UnknownFields unknownFields,
+      MetricsPage page,
+      SharedKey sharedKey,
+      BooleanSupplier ready,
+      BooleanSupplier stopping,
+      BiConsumer<Dispatcher, SlotRequest> submission) {
     SplittableRandom random = new SplittableRandom();
     this.client =
         new TargetClient(
             new TargetClientLimits(
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
+    this.peerClient =
+        new TargetClient(
+            new TargetClientLimits(
+                PEER_CONNECT_TIMEOUT_MS,
+                PEER_IDLE_MS,
+                MAX_RELAYED_HEADER_BYTES,
+                PEER_THREADS,
+                false),
+            address -> Integer.MAX_VALUE);
+    DataCentreId dataCentre = new DataCentreId(settings.dataCentre());
+    RelayToken token = new RelayToken(sharedKey);
     KeyLoadMeter keyLoad = new KeyLoadMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
     TargetDepartures departures = new TargetDepartures(state);
     Dispatcher dispatcher =
-        new Dispatcher(
-            state,
-            new DataCentreId(settings.dataCentre()),
-            clock,
-            random.split(),
-            quotas,
-            backoffs);
+        new Dispatcher(state, dataCentre, clock, random.split(), quotas, backoffs);
     backoffs.onStart(dispatcher::onBackoff);
     RequestQuarantine quarantine = new RequestQuarantine(clock);
     CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock);
@@ -112,12 +163,14 @@
         new ExchangeServices(
             state,
             dispatcher,
+            request -> submission.accept(dispatcher, request),
             new SendGate(clock),
             departures,
             quotas,
             new SignalReader(decoder, quotas, backoffs, departures, unknownFields, log),
             backoffs,
             client,
+            new PeerRelay(state, peerClient, token, dataCentre, clock, random.split()),
             new RetryBudgets(settings, clock),
             quarantine,
             crashDetector,
@@ -130,15 +183,32 @@
             stopping);
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector, () -> "");
+            keyLoad,
+            dispatcher,
+            quotas,
+            backoffs,
+            departures,
+            quarantine,
+            crashDetector,
+            () -> relayAddress(settings.peerHost(), ready));
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
-    this.callers = connector(settings.callerAddress(), clock);
+    this.callers = connector(settings.callerAddress(), clock, MAX_HEADER_BYTES);
+    this.relays =
+        connector(
+            new InetSocketAddress(settings.peerHost(), settings.relayPort()),
+            clock,
+            MAX_RELAYED_HEADER_BYTES);
     this.readiness = plainConnector(settings.readinessAddress());
     this.scrapes = settings.metricsAddress().map(this::plainConnector);
-    Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, handler);
+    RelayHandler admission = new RelayHandler(relays, token, ready, log, metrics, handler);
+    Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, admission);
     server.setHandler(new MetricsHandler(scrapes, page, traffic));
     page.addGauge("cuminvalve_requests_in_flight", "Requests without an answer.", this::inFlight);
+    page.addGauge(
+        "cuminvalve_relayed_requests_in_flight",
+        "Requests without an answer that other gateways relay.",
+        admission::inProgress);
     page.addGauge(
         "cuminvalve_requests_waiting",
         "Requests that wait for a slot of a target.",
@@ -170,12 +240,19 @@
     return connector;
   }
 
-  private ServerConnector connector(InetSocketAddress address, MillisClock clock) {
+  /** Returns where peers can relay requests to; empty while they are not to. */
+  private String relayAddress(String host, BooleanSupplier ready) {
+    int port = relays.getLocalPort();
+    return port > 0 && ready.getAsBoolean() ? host + ":" + port : "";
+  }
+
+  private ServerConnector connector(
+      InetSocketAddress address, MillisClock clock, int maxHeaderBytes) {
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
-    http.setRequestHeaderSize(MAX_HEADER_BYTES);
-    http.setResponseHeaderSize(MAX_HEADER_BYTES);
+    http.setRequestHeaderSize(maxHeaderBytes);
+    http.setResponseHeaderSize(maxHeaderBytes);
     http.setUriCompliance(UriCompliance.UNSAFE);
     ServerConnector connector =
         new WatchingConnector(server, clock, new HttpConnectionFactory(http));
@@ -190,6 +267,7 @@
   /** Opens the ports. */
   public void start() {
     client.start();
+    peerClient.start();
     try {
       server.start();
     } catch (Exception e) {
@@ -205,6 +283,7 @@
       throw new CodedException(ErrorCode.INTERNAL, "cannot stop the server", e);
     }
     client.stop();
+    peerClient.stop();
     probe.close();
     timers.stop();
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
@@ -164,6 +164,7 @@
         "/ready",
         "127.0.0.1",
         0,
+        0,
         new RequestHeaders("attempt", "deadline", "target", "key"),
         false,
         1,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawTarget.java
@@ -44,6 +44,7 @@
   private final ServerSocket listener;
   private final List<Socket> accepted = new CopyOnWriteArrayList<>();
   private final List<Arrival> arrivals = new ArrayList<>();
+  private final List<Received> received = new ArrayList<>();
   private final AtomicInteger openConnections = new AtomicInteger();
   private final CountDownLatch responsesReleased = new CountDownLatch(1);
 
@@ -60,6 +61,14 @@
   /** A request as it reached the target. */
   record Arrival(String id, long deadlineMs, int connection) {}
 
+  /** A request as it was read. */
+  record Received(String head, byte[] body) {}
+
+  /** Returns the requests in the order in which they were read. */
+  synchronized List<Received> received() {
+    return List.copyOf(received);
+  }
+
   String address() {
     return "127.0.0.1:" + listener.getLocalPort();
   }
@@ -104,9 +113,11 @@
       for (String head = readHead(input); head != null; head = readHead(input)) {
         String id = header(head, "X-Attempt-Id").orElse("");
         long deadlineMs = header(head, "X-Deadline-Ms").map(Long::parseLong).orElse(-1L);
-        input.readNBytes(header(head, "Content-Length").map(Integer::parseInt).orElse(0));
+        int length = header(head, "Content-Length").map(Integer::parseInt).orElse(0);
+        final byte[] body = input.readNBytes(length);
         synchronized (this) {
           arrivals.add(new Arrival(id, deadlineMs, connection));
+          received.add(new Received(head, body));
         }
         String response = script.responseTo(connection, id);
         socket.getOutputStream().write(response.getBytes(StandardCharsets.ISO_8859_1));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -20,6 +20,7 @@
 import io.cuminvalve.gateway.observe.RequestMetrics;
 import io.cuminvalve.gateway.observe.StoreCallMetrics;
 import io.cuminvalve.gateway.observe.UnknownFields;
+import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.testkit.time.VirtualClock;
 import java.io.IOException;
@@ -85,6 +86,7 @@
             this::decode,
             unknown,
             new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
+            new SharedKey("a-key-of-at-least-sixteen-bytes"),
             () -> true,
             () -> false);
     server.start();
@@ -101,6 +103,7 @@
         "/v1/readyz",
         "127.0.0.1",
         0,
+        0,
         new RequestHeaders("X-Attempt-Id", "X-Deadline-Ms", "X-Target-Instance", "X-Shard-Key"),
         true,
         1,
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -84,6 +84,7 @@
         new ExchangeServices(
             state,
             dispatcher,
+            dispatcher::submit,
             new SendGate(clock),
             departures,
             quotas,
@@ -91,6 +92,7 @@
             backoffs,
             new TargetClient(TargetClientLimits.DEFAULT, address -> 1),
             null,
+            null,
             quarantine,
             crashDetector,
             keyLoad,
