--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -94,6 +94,7 @@
             guarded.answers(),
             unknownFields,
             metricsPage,
+            sharedKey,
             this::isReady,
             stop);
     this.fleet =
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -94,6 +94,7 @@
         new ExchangeServices(
             state,
             dispatcher,
+            dispatcher::submit,
             new SendGate(clock),
             departures,
             quotas,
@@ -101,6 +102,7 @@
             backoffs,
             new TargetClient(TargetClientLimits.DEFAULT, address -> 1),
             null,
+            null,
             quarantine,
             crashDetector,
             keyLoad,
@@ -112,7 +114,7 @@
             new StopProgress(clock, new StopPolicy(1_000, 10_000)));
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
+            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector, () -> "");
   }
 
   /** Creates the handler of callers' requests. */
