--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.WeightedService;
 import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.observe.RequestMetrics;
@@ -19,6 +20,7 @@
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetClientLimits;
 import java.lang.reflect.Proxy;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -138,6 +140,14 @@
     }
   }
 
+  /** Submits a request without a key and returns why it is refused; empty if it is not. */
+  Optional<TargetRefusal> refusal() {
+    Placed placed = new Placed();
+    dispatcher.submit(placed.slotRequest);
+    dispatcher.withdraw(placed.slotRequest);
+    return Optional.ofNullable(placed.refusal);
+  }
+
   /** Submits a request without a key; empty if it gets no slot at once. */
   public Optional<Placed> place() {
     Placed placed = new Placed();
@@ -160,6 +170,7 @@
 
     private final SlotRequest slotRequest;
     private Slot slot;
+    private TargetRefusal refusal;
 
     Placed() {
       slotRequest = new SlotRequest(ROUTE, SERVICE, OptionalInt.empty(), 0, this);
@@ -171,7 +182,9 @@
     }
 
     @Override
-    public void onRefused(TargetRefusal refusal) {}
+    public void onRefused(TargetRefusal given) {
+      refusal = given;
+    }
 
     /** Returns the target of its slot. */
     public FleetTarget target() {
@@ -188,27 +201,53 @@
       return beginsAfter(0);
     }
 
+    /** Is refused a connection, by the host of the target or by something on the way there. */
+    void failsToConnect() {
+      TargetAttempt attempt =
+          new TargetAttempt(services, call(), slotRequest, slot, 0, 0, new IgnoringListener());
+      attempt.onFailure(false, new ConnectException("refused"));
+      attempt.onReleased();
+    }
+
     /** Like {@link #begins}, for a request that may have run on some targets before. */
     boolean beginsAfter(int runs) {
-      CallerRequest call =
-          new CallerRequest(
-              request(),
-              null,
-              null,
-              "one",
-              slotRequest.route(),
-              SERVICE,
-              OptionalInt.empty(),
-              IDENTITY,
-              HttpFields.EMPTY,
-              new byte[0],
-              clock.nowMs(),
-              DEADLINE_MS,
-              clock.upper().plusMs(DEADLINE_MS),
-              CONFIGURATION.version());
-      return new TargetAttempt(services, call, slotRequest, slot, runs, 0, null)
+      return new TargetAttempt(services, call(), slotRequest, slot, runs, 0, null)
           .onConnection(HttpFields.build());
     }
+
+    private CallerRequest call() {
+      return new CallerRequest(
+          request(),
+          null,
+          null,
+          "one",
+          slotRequest.route(),
+          SERVICE,
+          OptionalInt.empty(),
+          IDENTITY,
+          HttpFields.EMPTY,
+          new byte[0],
+          clock.nowMs(),
+          DEADLINE_MS,
+          clock.upper().plusMs(DEADLINE_MS),
+          CONFIGURATION.version());
+    }
+  }
+
+  /** Ignores the result of an attempt. */
+  private static final class IgnoringListener implements TargetAttempt.Listener {
+
+    @Override
+    public void onResponse(TargetAttempt attempt, int status, HttpFields headers, byte[] body) {}
+
+    @Override
+    public void onNotExecuted(TargetAttempt attempt, int status) {}
+
+    @Override
+    public void onStopped(TargetAttempt attempt, SendObstacle obstacle) {}
+
+    @Override
+    public void onFailure(TargetAttempt attempt, boolean mayHaveRun, String reason) {}
   }
 
   private static Request request() {
