Refuse requests at once while no target can be reached

Cause: each request at a gateway without a path to the targets found that out by itself, and refused connections passed for the end of targets: five cut gateways of second1 concluded 86 ends and quarantined 8 requests, though no target had ended.

Change: ReachMonitor feeds TargetReach from the attempts and probes of this gateway. The dispatcher sends no request to a target that cannot be reached, and refuses one as UNREACHABLE if that is so for all that may run it. Attempts that the lost path failed pause no target. A refused connection proves the end of a target only once another target answers a later request, or a probe is refused while the path is not in doubt. Events path_lost, path_regained and request_unreachable, and a gauge.

It now allows 150 ms between the failures and the refusal, since three targets may end at the same moment, and checks that failures of one instant refuse nothing (new).

Conclusion: requests fail fast; serving them by peers is the next step.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ConnectProbe.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ConnectProbe.java
@@ -11,7 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
-/** Probes targets one at a time, on a thread that exists only while there are probes. */
+/** Probes few targets at a time, on threads that exist only while there are probes. */
 final class ConnectProbe implements TargetProbe, AutoCloseable {
 
   /** More targets than this end at once only if a whole data centre fails. */
@@ -22,12 +22,12 @@
   private final int timeoutMs;
   private final ThreadPoolExecutor executor;
 
-  ConnectProbe(int timeoutMs) {
+  ConnectProbe(int timeoutMs, int atOnce) {
     this.timeoutMs = timeoutMs;
     this.executor =
         new ThreadPoolExecutor(
-            1,
-            1,
+            atOnce,
+            atOnce,
             IDLE_SECONDS,
             TimeUnit.SECONDS,
             new ArrayBlockingQueue<>(MAX_QUEUED),
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CrashDetector.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CrashDetector.java
@@ -6,9 +6,12 @@
 import io.cuminvalve.router.request.Timers;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /**
@@ -17,7 +20,8 @@
  * <p>A broken connection alone is no evidence: responses get lost and networks reset connections
  * while the target is alive. A broken attempt counts as a crash only if the run of the target is
  * known to have ended, because it refuses connections or is no longer registered. If the target
- * still accepts connections, its broken attempts are discarded. Thread-safe.
+ * still accepts connections, its broken attempts are discarded. A refused connection proves the end
+ * only if the path to the targets is not in doubt. Thread-safe.
  */
 final class CrashDetector {
 
@@ -35,14 +39,27 @@
   private final Timers timers;
   private final MillisClock clock;
   private final Map<TargetId, List<BrokenAttempt>> unresolved = new HashMap<>();
+  private final Set<TargetId> refused = new HashSet<>();
+  private final BooleanSupplier pathDoubtful;
   private volatile boolean anyUnresolved;
   private volatile Consumer<List<BrokenAttempt>> onCrash = crashed -> {};
 
-  CrashDetector(RoutingState state, TargetProbe probe, Timers timers, MillisClock clock) {
+  /**
+   * Creates a detector without broken attempts.
+   *
+   * @param pathDoubtful returns whether refused connections may be due to the path; not null
+   */
+  CrashDetector(
+      RoutingState state,
+      TargetProbe probe,
+      Timers timers,
+      MillisClock clock,
+      BooleanSupplier pathDoubtful) {
     this.state = state;
     this.probe = probe;
     this.timers = timers;
     this.clock = clock;
+    this.pathDoubtful = pathDoubtful;
     state.onChange(this::onRoutingChanged);
   }
 
@@ -75,12 +92,40 @@
     if (!anyUnresolved) {
       return;
     }
+    List<TargetId> endedTargets = List.of();
     synchronized (this) {
       List<BrokenAttempt> attempts = unresolved.get(target);
       if (attempts != null) {
         attempts.removeIf(attempt -> attempt.endedMs() <= sentMs);
         discardExpired();
       }
+      refused.remove(target);
+      if (!refused.isEmpty()) {
+        endedTargets = refused.stream().filter(id -> brokeBefore(id, sentMs)).toList();
+      }
+    }
+    if (!endedTargets.isEmpty() && !pathDoubtful.getAsBoolean()) {
+      endedTargets.forEach(this::onEnded);
+    }
+  }
+
+  private boolean brokeBefore(TargetId target, long sentMs) {
+    return unresolved.getOrDefault(target, List.of()).stream()
+        .anyMatch(attempt -> attempt.endedMs() <= sentMs);
+  }
+
+  /**
+   * Records that a target refused a connection. It has ended if another target answers a request
+   * sent later, or if a probe is refused too; otherwise the path may be lost.
+   */
+  void onRefused(TargetId target) {
+    if (!anyUnresolved) {
+      return;
+    }
+    synchronized (this) {
+      if (unresolved.containsKey(target)) {
+        refused.add(target);
+      }
     }
   }
 
@@ -101,19 +146,22 @@
       needed = unresolved.containsKey(target.id());
     }
     if (needed) {
-      probe.probe(target.address(), finding -> onProbed(target.id(), finding));
+      probe.probe(target.address(), finding -> onProbed(target, finding));
     }
   }
 
-  private void onProbed(TargetId target, TargetProbe.Finding finding) {
-    if (finding == TargetProbe.Finding.REFUSED) {
-      onEnded(target);
+  private void onProbed(FleetTarget target, TargetProbe.Finding finding) {
+    if (finding == TargetProbe.Finding.REFUSED && pathDoubtful.getAsBoolean()) {
+      timers.schedule(() -> probe(target), PROBE_DELAY_MS);
+    } else if (finding == TargetProbe.Finding.REFUSED) {
+      onEnded(target.id());
     } else if (finding == TargetProbe.Finding.LISTENING) {
-      take(target);
+      take(target.id());
     }
   }
 
   private synchronized List<BrokenAttempt> take(TargetId target) {
+    refused.remove(target);
     List<BrokenAttempt> attempts = unresolved.remove(target);
     anyUnresolved = !unresolved.isEmpty();
     return attempts == null ? List.of() : attempts;
@@ -142,6 +190,7 @@
         all.remove();
       }
     }
+    refused.retainAll(unresolved.keySet());
     anyUnresolved = !unresolved.isEmpty();
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -63,6 +63,9 @@
   /** Retry delay while all targets of a service are in evacuated data centres. */
   private static final long EVACUATED_RETRY_MS = 1_000;
 
+  /** Retry delay while this gateway has no path to the targets of a service. */
+  private static final long UNREACHABLE_RETRY_MS = 500;
+
   /** Requests wait for the end of a back-off of at most this length instead of being refused. */
   private static final long SHORT_BACKOFF_MS = 50;
 
@@ -75,6 +78,7 @@
   private final RandomGenerator random;
   private final TargetQuotas quotas;
   private final TargetBackoffs backoffs;
+  private final Predicate<FleetTarget> isReachable;
   private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
   private final Map<ServiceId, PriorityQueue<SlotRequest>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeMsByRoute = new HashMap<>();
@@ -90,13 +94,15 @@
       MillisClock clock,
       RandomGenerator random,
       TargetQuotas quotas,
-      TargetBackoffs backoffs) {
+      TargetBackoffs backoffs,
+      Predicate<FleetTarget> isReachable) {
     this.state = state;
     this.dataCentre = dataCentre;
     this.clock = clock;
     this.random = random;
     this.quotas = quotas;
     this.backoffs = backoffs;
+    this.isReachable = isReachable;
     state.onChange(this::onRoutingChanged);
     quotas.onUsable(this::dispatchWaiting);
     backoffs.onEnd(this::dispatchWaiting);
@@ -183,7 +189,7 @@
     synchronized (this) {
       TargetSlots slots = slotsOf(slot.target(), state.current());
       slots.release();
-      recordOutcome(slots, request.route().name(), outcome, tookMs);
+      recordOutcome(slot.target(), slots, request.route().name(), outcome, tookMs);
       recordResponseSize(request);
     }
     dispatchWaiting(slot.target().service());
@@ -224,7 +230,8 @@
     return meanTimeMsByRoute.getOrDefault(route, 0.0).longValue();
   }
 
-  private void recordOutcome(TargetSlots slots, String route, AttemptOutcome outcome, long tookMs) {
+  private void recordOutcome(
+      FleetTarget target, TargetSlots slots, String route, AttemptOutcome outcome, long tookMs) {
     switch (outcome) {
       case ANSWERED -> {
         double mean = meanTimeMsByRoute.getOrDefault(route, Math.max(1.0, tookMs));
@@ -232,7 +239,11 @@
         meanTimeMsByRoute.put(route, Math.max(1.0, mean + EWMA_WEIGHT * (tookMs - mean)));
       }
       case FAILED -> slots.onFailedResponse();
-      case NO_ANSWER -> slots.onNoResponse(clock.nowMs());
+      case NO_ANSWER -> {
+        if (isReachable.test(target)) {
+          slots.onNoResponse(clock.nowMs());
+        }
+      }
       default -> {
         // An abandoned attempt says nothing about the target.
       }
@@ -261,6 +272,15 @@
     services.forEach(this::dispatchWaiting);
   }
 
+  /** Tries again to assign slots to all queued requests, or refuses them. */
+  void dispatchWaiting() {
+    List<ServiceId> services;
+    synchronized (this) {
+      services = List.copyOf(waiting.keySet());
+    }
+    services.forEach(this::dispatchWaiting);
+  }
+
   /** Tries again to assign slots to the queued requests of a service. */
   void dispatchWaiting(ServiceId service) {
     Map<SlotRequest, Slot> placed = new HashMap<>();
@@ -348,10 +368,16 @@
           .map(target -> TargetRefusal.forEvacuation(target.id(), EVACUATED_RETRY_MS))
           .or(() -> refusalOfStuckKey(request, snapshot));
     }
+    if (targets.stream().noneMatch(isReachable)) {
+      return Optional.of(TargetRefusal.forUnreachable(targets.get(0).id(), UNREACHABLE_RETRY_MS));
+    }
     int priority = request.route().priority();
     FleetTarget first = null;
     long firstMs = Long.MAX_VALUE;
     for (FleetTarget target : targets) {
+      if (!isReachable.test(target)) {
+        continue;
+      }
       long refusedForMs = refusedForMs(target.id(), priority);
       if (refusedForMs == 0) {
         return Optional.empty();
@@ -447,7 +473,7 @@
     Set<TargetId> excluded = new HashSet<>(request.tried());
     boolean candidatesLeft = false;
     for (FleetTarget target : snapshot.ready(request.service())) {
-      if (slotsOf(target, snapshot).isPaused(nowMs)) {
+      if (slotsOf(target, snapshot).isPaused(nowMs) || !isReachable.test(target)) {
         excluded.add(target.id());
       }
       candidatesLeft |= !excluded.contains(target.id());
@@ -458,7 +484,8 @@
   private boolean canAccept(FleetTarget target, RoutingSnapshot snapshot) {
     return !replaced.contains(target.id())
         && backoffs.remainingMs(target.id()) == 0
-        && slotsOf(target, snapshot).hasFreeSlot();
+        && slotsOf(target, snapshot).hasFreeSlot()
+        && isReachable.test(target);
   }
 
   private TargetSlots slotsOf(FleetTarget target, RoutingSnapshot snapshot) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -23,6 +23,7 @@
  * @param budgets limit retries; not null
  * @param quarantine holds back requests that crash targets; not null
  * @param crashDetector detects during which requests targets end; not null
+ * @param reach tells which targets can be reached; not null
  * @param keyLoad sums up the load of keys; not null
  * @param timers run deadlines; not null
  * @param clock the time; not null
@@ -43,6 +44,7 @@
     RetryBudgets budgets,
     RequestQuarantine quarantine,
     CrashDetector crashDetector,
+    ReachMonitor reach,
     KeyLoadMeter keyLoad,
     Timers timers,
     MillisClock clock,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -102,6 +102,10 @@
         logRefusal("request_evacuated", refusal, "");
         decide(() -> machine.onServiceEvacuated(refusal.retryAfterMs()));
       }
+      case UNREACHABLE -> {
+        logRefusal("request_unreachable", refusal, "");
+        decide(() -> machine.onLimited(refusal.retryAfterMs()));
+      }
       default -> {
         logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
         decide(() -> machine.onLimited(refusal.retryAfterMs()));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -51,13 +51,17 @@
 
   private static final int TARGET_THREADS = 8;
 
+  /** Targets that are probed at a time to learn whether they can be reached. */
+  private static final int REACH_PROBES = 2;
+
   private final Server server;
   private final ServerConnector callers;
   private final ServerConnector readiness;
   private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
   private final RequestTimers timers = new RequestTimers();
-  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS);
+  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, 1);
+  private final ConnectProbe reachProbe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, REACH_PROBES);
   private final TrafficReports reports;
   private final GatewayHandler handler;
 
@@ -92,11 +96,11 @@
             new TargetClientLimits(
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
-    KeyLoadMeter keyLoad = new KeyLoadMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
     TargetDepartures departures = new TargetDepartures(state);
+    ReachMonitor reach = new ReachMonitor(state, reachProbe, timers, clock, log);
     Dispatcher dispatcher =
         new Dispatcher(
             state,
@@ -104,10 +108,13 @@
             clock,
             random.split(),
             quotas,
-            backoffs);
+            backoffs,
+            reach::isUsable);
+    reach.onChange(dispatcher::dispatchWaiting);
     backoffs.onStart(dispatcher::onBackoff);
+    KeyLoadMeter keyLoad = new KeyLoadMeter();
     RequestQuarantine quarantine = new RequestQuarantine(clock);
-    CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock);
+    CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock, reach::isDoubtful);
     ExchangeServices services =
         new ExchangeServices(
             state,
@@ -121,6 +128,7 @@
             new RetryBudgets(settings, clock),
             quarantine,
             crashDetector,
+            reach,
             keyLoad,
             timers,
             clock,
@@ -130,7 +138,15 @@
             stopping);
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector, () -> "");
+            keyLoad,
+            dispatcher,
+            quotas,
+            backoffs,
+            departures,
+            quarantine,
+            crashDetector,
+            reach,
+            () -> "");
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
     this.callers = connector(settings.callerAddress(), clock);
@@ -155,6 +171,10 @@
         "cuminvalve_leaving_targets",
         "Targets that have said in an answer that they leave.",
         () -> state.current().leaving().size());
+    page.addGauge(
+        "cuminvalve_unreachable_targets",
+        "Targets that this gateway cannot reach.",
+        reach::unreachableCount);
     page.addGauge(
         "cuminvalve_resting_targets",
         "Targets that have asked this gateway for rest.",
@@ -206,6 +226,7 @@
     }
     client.stop();
     probe.close();
+    reachProbe.close();
     timers.stop();
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -135,6 +135,7 @@
   }
 
   void start() {
+    services.reach().onSent(slot.target().id());
     exchange.start();
   }
 
@@ -169,6 +170,7 @@
 
   @Override
   public void onAnswer(TargetAnswer response) {
+    services.reach().onAnswer(slot.target().id());
     TargetSignals signals = services.signals().read(response);
     if (!isForThisAttempt(signals) || response.headers().contains(HttpHeader.CONTENT_ENCODING)) {
       exchange.abandon("the response belongs to another request");
@@ -232,9 +234,13 @@
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     if (handedOver) {
+      services.reach().onDoubt(slot.target().id());
       onBroken();
-    } else if (cause instanceof ConnectException) {
-      services.crashDetector().onEnded(slot.target().id());
+    } else {
+      services.reach().onNotSent(slot.target().id(), cause);
+      if (cause instanceof ConnectException) {
+        services.crashDetector().onRefused(slot.target().id());
+      }
     }
     fail(handedOver, cause.getClass().getSimpleName());
   }
@@ -274,6 +280,7 @@
   @Override
   public void onReleased() {
     if (released.compareAndSet(false, true)) {
+      services.reach().onEnded(slot.target().id());
       long tookMs = services.clock().nowMs() - sentMs;
       if (call.key().isPresent() && outcome != AttemptOutcome.GIVEN_UP) {
         long workMs = occupancy.map(stated -> stated.serviceTimeMs(tookMs)).orElse(tookMs);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -23,6 +23,7 @@
   private final TargetDepartures departures;
   private final RequestQuarantine quarantine;
   private final CrashDetector crashDetector;
+  private final ReachMonitor reach;
   private final Supplier<String> relayAddress;
 
   TrafficReports(
@@ -33,6 +34,7 @@
       TargetDepartures departures,
       RequestQuarantine quarantine,
       CrashDetector crashDetector,
+      ReachMonitor reach,
       Supplier<String> relayAddress) {
     this.keyLoad = keyLoad;
     this.dispatcher = dispatcher;
@@ -41,6 +43,7 @@
     this.departures = departures;
     this.quarantine = quarantine;
     this.crashDetector = crashDetector;
+    this.reach = reach;
     this.relayAddress = relayAddress;
   }
 
@@ -116,6 +119,15 @@
     return dispatcher.takeLatencies();
   }
 
+  /**
+   * Returns which targets this gateway can reach.
+   *
+   * @return never null
+   */
+  public ReachMonitor reach() {
+    return reach;
+  }
+
   /**
    * Returns where this gateway takes requests from gateways that have no path to targets.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/UnreachableTargetsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/UnreachableTargetsTest.java
@@ -18,6 +18,9 @@
   private static final int TARGETS = 6;
   private static final int FAILURES_UNTIL_KNOWN = 3;
 
+  /** Without an answer for so long, failed connections are due to the path. */
+  private static final long ANSWER_EXPECTED_MS = 150;
+
   private final VirtualClock clock = new VirtualClock(10_000);
   private final RoutingState state = new RoutingState(1);
   private final TrafficFixture traffic = new TrafficFixture(state, clock);
@@ -38,10 +41,21 @@
       clock.advance(5);
       traffic.place().orElseThrow().failsToConnect();
     }
+    clock.advance(ANSWER_EXPECTED_MS);
+    traffic.place().orElseThrow().failsToConnect();
     Optional<TargetRefusal.Cause> cause = traffic.refusal().map(TargetRefusal::cause);
     assertThat(cause).isEqualTo(Optional.of(TargetRefusal.Cause.UNREACHABLE));
   }
 
+  /** Several targets may end at the same moment. */
+  @Test
+  void failuresWithinAnInstantDoNotRefuseRequests() {
+    for (int i = 0; i < FAILURES_UNTIL_KNOWN; i++) {
+      traffic.place().orElseThrow().failsToConnect();
+    }
+    assertThat(traffic.refusal()).isEqualTo(Optional.empty());
+  }
+
   private static FleetTarget target(int number) {
     return new FleetTarget(
         new TargetId("t" + number),
