Tell the fleet which gateways reach the targets

Cause: a gateway without a path to the targets does not know which peers have one.

Change: a hello says how many targets its sender reaches and where it takes requests to relay; the holder answers with up to eight gateways that reach most targets, those of the asker's data centre first, and keeps such a list for itself. Old senders tell none.

FleetLinkTest, FleetViewTest, SubscribersTest and FollowingGateway pass the new components; their checks are unchanged.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHeartbeat.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHeartbeat.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.core.protocol;
 
+import io.cuminvalve.core.fleet.RelayPeer;
 import java.util.List;
 
 /**
@@ -15,6 +16,7 @@
  * @param targetsVersion the version of the target list that the holder last published in its term;
  *     {@link Long#MAX_VALUE} if it has published none
  * @param helloSentMs send time of the hello being answered, on its sender's clock; milliseconds
+ * @param relays gateways that reach targets and take requests for them from the receiver; not null
  * @since 0.2
  */
 public record FleetHeartbeat(
@@ -26,11 +28,13 @@
     long configurationAgeMs,
     List<String> deputies,
     long targetsVersion,
-    long helloSentMs)
+    long helloSentMs,
+    List<RelayPeer> relays)
     implements FleetMessage {
 
-  /** Copies the list. */
+  /** Copies the lists. */
   public FleetHeartbeat {
     deputies = List.copyOf(deputies);
+    relays = List.copyOf(relays);
   }
 }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/protocol/FleetHello.java
@@ -19,6 +19,10 @@
  * @param sentMs send time on the sender's clock, echoed in the reply; milliseconds
  * @param departureDigest digest of the known departing targets, compared with the receiver's; 0 if
  *     none are known
+ * @param relayAddress where the sender takes requests of gateways that have no path to targets;
+ *     empty if it takes none; not null
+ * @param reachableTargets number of targets that the sender reaches, as far as it knows
+ * @param unreachableTargets number of targets that the sender does not reach
  * @since 0.2
  */
 public record FleetHello(
@@ -33,5 +37,8 @@
     long crashDigest,
     long limitDigest,
     long sentMs,
-    long departureDigest)
+    long departureDigest,
+    String relayAddress,
+    int reachableTargets,
+    int unreachableTargets)
     implements FleetMessage {}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.ConfigurationUpdate;
@@ -140,6 +141,7 @@
   private final DepartureLink departures;
   private final FallbackRegistryFollower fallbackFollower;
   private final FleetView view;
+  private final FleetReach reach;
   private volatile Optional<TermCoordinator> coordinator = Optional.empty();
   private Optional<String> holderAddress = Optional.empty();
   private UpperTime holderHeard;
@@ -197,6 +199,7 @@
             () -> coordinator.ifPresent(TermCoordinator::onDepartures));
     this.fallbackFollower = new FallbackRegistryFollower(ports, state, control, clock, log);
     this.view = new FleetView(reports.quotas()::coldLeftMs);
+    this.reach = new FleetReach(subscribers, reports, new DataCentreId(settings.dataCentre()));
     this.terms = terms;
     this.deputies = deputies;
     this.configuration = configuration;
@@ -209,6 +212,7 @@
     crashes.start();
     quotas.start();
     departures.start();
+    reports.reach().onChange(() -> control.execute(this::sendHello));
     state.watch(configuration::confirmed, timings::configurationMaxAgeMs, this::isStoreSilent);
     if (!settings.firstStart()) {
       startupReader.readOwners();
@@ -309,6 +313,7 @@
       state.setMovesPossible(
           coordinator.get().termAgeMs() <= FRESH_HEARTBEAT_AGE_MS, clock.nowMs());
       subscribers.removeSilent(clock.nowMs(), timings.helloIntervalMs());
+      state.setRelayPeers(reach.ownRelays(clock.nowMs(), timings.helloIntervalMs()));
       updateProcesses();
       return;
     }
@@ -444,7 +449,9 @@
         crashes.digest(),
         quotas.digest(),
         clock.upper(),
-        departures.digest());
+        departures.digest(),
+        reach.ownRelayAddress(),
+        reach.own());
   }
 
   private void followRegistryDirectly() {
@@ -466,6 +473,7 @@
       return;
     }
     deputies.onNamed(heartbeat.deputies());
+    state.setRelayPeers(heartbeat.relays());
     crashes.onHolderAndDeputies(holderAddress, deputies.others());
     quotas.onHolderAndDeputies(
         holderAddress, deputies.others(), Math.max(1, heartbeat.processes()));
@@ -589,6 +597,12 @@
     return subscribers.majorityHeardSince(clock.nowMs() - 2 * timings.helloIntervalMs());
   }
 
+  /** Returns whether this gateway, the holder, should leave the term to one that reaches more. */
+  boolean shouldYieldTerm() {
+    return coordinator.isPresent()
+        && reach.shouldYieldTerm(clock.nowMs(), timings.helloIntervalMs());
+  }
+
   /**
    * Announces a new configuration revision; gateways that do not follow the store query it at once.
    */
@@ -655,7 +669,8 @@
             configuration.ageMs(),
             subscribers.deputies(),
             view.targets().term() == holder.term() ? view.targets().version() : Long.MAX_VALUE,
-            hello.sentMs()));
+            hello.sentMs(),
+            reach.relaysFor(hello, clock.nowMs(), timings.helloIntervalMs())));
     configuration.onHeard(hello.configurationRevision(), UpperTime.NEVER);
     updateProcesses();
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetView.java
@@ -12,6 +12,7 @@
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.core.reach.ReachShare;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -74,7 +75,9 @@
       long crashDigest,
       long limitDigest,
       UpperTime sent,
-      long departureDigest) {
+      long departureDigest,
+      String relayAddress,
+      ReachShare reach) {
     return new FleetHello(
         process,
         targets.term(),
@@ -87,7 +90,10 @@
         crashDigest,
         limitDigest,
         sent.ms(),
-        departureDigest);
+        departureDigest,
+        relayAddress,
+        reach.reachable(),
+        reach.unreachable());
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/Subscribers.java
@@ -1,9 +1,12 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.fleet.DeputySelector;
+import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetMessage;
+import io.cuminvalve.core.reach.ReachShare;
+import io.cuminvalve.core.reach.RelaySelector;
 import io.cuminvalve.wire.PeerChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -44,6 +47,7 @@
       chooseDeputies();
     }
     subscriber.lastHelloMs = nowMs;
+    subscriber.relay = relayOf(hello);
     peakCount = Math.max(peakCount, byProcess.size());
     boolean lacksTargets =
         isNew
@@ -63,6 +67,20 @@
     subscriber.expectedRoutesVersion = view.routes().version();
   }
 
+  private static RelaySelector.Candidate relayOf(FleetHello hello) {
+    return new RelaySelector.Candidate(
+        new RelayPeer(hello.relayAddress(), new DataCentreId(hello.dataCentre())),
+        new ReachShare(hello.reachableTargets(), hello.unreachableTargets()));
+  }
+
+  /** Returns what the gateways that have sent a hello since a time have told of their reach. */
+  List<RelaySelector.Candidate> relaysSince(long sinceMs) {
+    return byProcess.values().stream()
+        .filter(known -> known.lastHelloMs >= sinceMs)
+        .map(known -> known.relay)
+        .toList();
+  }
+
   void sendToAll(FleetMessage message) {
     byProcess.values().forEach(subscriber -> subscriber.channel.send(message));
   }
@@ -113,6 +131,7 @@
 
     private final PeerChannel channel;
     private final DeputySelector.Candidate candidate;
+    private RelaySelector.Candidate relay;
     private long lastHelloMs;
     private long expectedTargetsVersion;
     private long expectedRoutesVersion;
@@ -122,6 +141,7 @@
       this.candidate =
           new DeputySelector.Candidate(
               channel.peerAddress(), new DataCentreId(hello.dataCentre()), hello.processorCores());
+      this.relay = relayOf(hello);
     }
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ReachMonitor.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ReachMonitor.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.reach.ConnectFailure;
+import io.cuminvalve.core.reach.ReachShare;
 import io.cuminvalve.core.reach.ReachSignals;
 import io.cuminvalve.core.reach.TargetReach;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -92,13 +93,14 @@
   }
 
   /**
-   * Returns the number of targets that this gateway can reach, as far as is known.
+   * Returns how many of the known targets this gateway can reach.
    *
-   * @return at least 0
+   * @return never null
    */
-  public int reachableCount() {
+  public ReachShare share() {
     synchronized (reach) {
-      return reach.targetCount() - reach.unreachableCount();
+      int unreachable = reach.unreachableCount();
+      return new ReachShare(reach.targetCount() - unreachable, unreachable);
     }
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetLinkTest.java
@@ -8,6 +8,7 @@
 import static io.cuminvalve.gateway.control.FollowingGateway.target;
 
 import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.protocol.FleetHello;
 import io.cuminvalve.core.protocol.FleetSnapshot;
@@ -15,6 +16,7 @@
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.gateway.traffic.TrafficFixture;
 import io.cuminvalve.testkit.time.VirtualClock;
 import java.util.ArrayList;
 import java.util.List;
@@ -473,7 +475,8 @@
     assertThat(gateway.traffic.sendsTo(A)).isFalse();
     List<PeerMessage> sent = new ArrayList<>();
     gateway.onSent = (address, message) -> sent.add(message);
-    gateway.receive("10.0.0.8:1", new FleetHello("new", 0, 0, 0, 0, 0, "here", 1, 0, 0, 0, 0));
+    gateway.receive(
+        "10.0.0.8:1", new FleetHello("new", 0, 0, 0, 0, 0, "here", 1, 0, 0, 0, 0, "", 0, 0));
     List<FleetTarget> sentTargets =
         sent.stream()
             .filter(FleetSnapshot.class::isInstance)
@@ -482,6 +485,14 @@
     assertThat(sentTargets).doesNotContain(READY);
   }
 
+  @Test
+  void holderTellsWhoMayRelayRequests() {
+    startGateway();
+    RelayPeer peer = new RelayPeer("10.0.0.9:1", TrafficFixture.HERE);
+    gateway.receive(HOLDER, gateway.heartbeatWithRelays(List.of(peer)));
+    assertThat(gateway.state.relayPeers()).containsExactly(peer);
+  }
+
   private void receiveTargets(TargetsPush push) {
     startGateway();
     gateway.receive(HOLDER, gateway.heartbeat(1, 0));
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FleetViewTest.java
@@ -14,6 +14,7 @@
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetsChange;
 import io.cuminvalve.core.protocol.TargetsPush;
+import io.cuminvalve.core.reach.ReachShare;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,8 @@
   private static final RangeRoute LOW = new RangeRoute(0, 9, A, true);
   private static final RangeRoute HIGH = new RangeRoute(10, 19, B, true);
 
+  private static final ReachShare NO_TARGETS = new ReachShare(0, 0);
+
   private final FleetView holder = new FleetView(target -> 0);
   private final FleetView follower = new FleetView(target -> 0);
 
@@ -77,8 +80,8 @@
     receive(holder.publishTargets(5, 2, List.of(target(A), target(B))));
     assertThat(follower.routes().services()).isEqualTo(holder.routes().services());
     assertThat(follower.targets().targets()).containsExactly(target(A), target(B));
-    assertThat(follower.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0))
-        .isEqualTo(holder.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0));
+    assertThat(follower.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0, "", NO_TARGETS))
+        .isEqualTo(holder.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0, "", NO_TARGETS));
   }
 
   @Test
@@ -101,7 +104,8 @@
   void invalidatedTargetsAreRequestedAgainAndStayInUse() {
     receive(holder.publishTargets(5, 1, List.of(target(A))));
     follower.invalidateTargets();
-    assertThat(follower.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0).targetsTerm())
+    assertThat(
+            follower.hello("x", "dc", 1, 0, 0, 0, UpperTime.NEVER, 0, "", NO_TARGETS).targetsTerm())
         .isEqualTo(0);
     assertThat(follower.targets().targets()).containsExactly(target(A));
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.control;
 
 import io.cuminvalve.core.fleet.FleetTarget;
+import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.LeaseTimings;
@@ -145,7 +146,22 @@
 
   FleetHeartbeat heartbeat(long term, long registryAgeMs, long targetsVersion, long helloSentMs) {
     return new FleetHeartbeat(
-        term, processes, registryAgeMs, 0, 1, 0, List.of(OWN), targetsVersion, helloSentMs);
+        term,
+        processes,
+        registryAgeMs,
+        0,
+        1,
+        0,
+        List.of(OWN),
+        targetsVersion,
+        helloSentMs,
+        List.of());
+  }
+
+  /** Returns a heartbeat that names gateways that relay requests. */
+  FleetHeartbeat heartbeatWithRelays(List<RelayPeer> relays) {
+    return new FleetHeartbeat(
+        1, processes, 0, 0, 1, 0, List.of(OWN), 0, clock.upper().ms(), relays);
   }
 
   static FleetTarget target(TargetId id, TargetPhase phase) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/SubscribersTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/SubscribersTest.java
@@ -87,9 +87,31 @@
     assertThat(subscribers.majorityHeardSince(8_700)).isFalse();
   }
 
+  /** A gateway that has fallen silent may have lost its path too. */
+  @Test
+  void reachOfSilentGatewaysIsNotUsed() {
+    subscribers.onHello(channel, hello(0, 0), TERM, view, 0);
+    assertThat(subscribers.relaysSince(0)).hasSize(1);
+    assertThat(subscribers.relaysSince(1)).isEmpty();
+  }
+
   private static FleetHello hello(long term, long routesVersion) {
     return new FleetHello(
-        "gateway-1", term, term == 0 ? 0 : 1, term, routesVersion, 0, "dc", 1, 0, 0, 0, 0);
+        "gateway-1",
+        term,
+        term == 0 ? 0 : 1,
+        term,
+        routesVersion,
+        0,
+        "dc",
+        1,
+        0,
+        0,
+        0,
+        0,
+        "",
+        0,
+        0);
   }
 
   /** Records the sent messages and checks that their term is the current one. */
