Leave the term to a gateway that reaches the targets

Cause: only the store decides who holds the term. A holder without a path to the targets kept it, its leases lapsed, and gateways that reach all targets could not send requests with keys.

A candidate waits up to 2 s longer, by the share of the targets that it does not reach, so that somebody always takes the term. Orders tell what they show about the paths too.

A check in TermLeaseTest. TermLeaseTest, TermCoordinatorTest, ReplacedTargetTest and WatchDelayBoundsTest pass the new arguments; their checks are unchanged.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -3,9 +3,11 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.PeerMessage;
 import io.cuminvalve.core.quarantine.CrashTracker;
+import io.cuminvalve.core.reach.TermFitness;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.gateway.traffic.ReachMonitor;
 import io.cuminvalve.gateway.traffic.RoutingState;
 import io.cuminvalve.gateway.traffic.TrafficReports;
 import io.cuminvalve.kernel.ControlThread;
@@ -38,6 +40,9 @@
   private static final long BACKOFF_MAX_MS = 500;
   private static final int QUEUE_CAPACITY = 256;
 
+  /** Interval between two checks whether another gateway should hold the term. */
+  private static final long FITNESS_CHECK_MS = 200;
+
   /**
    * Start delay of all gateways but the first candidate when a whole fleet starts for the first
    * time. The others find the term taken then; 95 gateways that tried to take it at once made 800
@@ -61,6 +66,7 @@
   private final TermLease termLease;
   private final Function<TargetId, OptionalDouble> limits;
   private final Consumer<TargetId> onLeaving;
+  private final ReachMonitor reach;
   private Optional<TermCoordinator> coordinator = Optional.empty();
   private volatile boolean holdsTerm;
   private boolean storeRestored;
@@ -95,6 +101,7 @@
     this.random = new SplittableRandom();
     this.limits = reports.quotas()::limitOf;
     this.onLeaving = reports.departures()::onLeaving;
+    this.reach = reports.reach();
     this.network =
         new TcpPeerNetwork(
             new PeerNetworkSettings(
@@ -147,6 +154,7 @@
             new TermHolderRecord(settings.process(), random.nextLong(), network.localAddress()),
             settings.firstCandidate(),
             settings.processorCores(),
+            () -> TermFitness.candidateDelayMs(reach.share()),
             settings.leases().holderGraceMs(),
             peerReliance,
             this);
@@ -186,6 +194,13 @@
     termLease.start();
     configuration.start();
     link.start();
+    control.scheduleRepeatedly(this::checkFitness, FITNESS_CHECK_MS);
+  }
+
+  private void checkFitness() {
+    if (link.shouldYieldTerm() && !termLease.isOutage()) {
+      termLease.relinquish("targets_unreachable");
+    }
   }
 
   /**
@@ -272,7 +287,8 @@
             link,
             storeRestored,
             limits,
-            onLeaving);
+            onLeaving,
+            reach);
     coordinator = Optional.of(next);
     holdsTerm = true;
     link.setCoordinator(coordinator);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/OrderSender.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.core.lease.LeaseManager;
 import io.cuminvalve.core.lease.LeaseOrder;
 import io.cuminvalve.core.lease.OrderOutcome;
+import io.cuminvalve.core.reach.ReachSignals;
 import io.cuminvalve.core.send.ConditionLookup;
 import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.core.send.SendKind;
@@ -46,6 +47,7 @@
   private final Function<TargetId, Optional<String>> addresses;
   private final Consumer<TargetId> onTargetReplaced;
   private final Consumer<TargetId> onLeaving;
+  private final ReachSignals reach;
   private final Runnable onAnswered;
   private final Map<TargetId, Integer> inFlight = new HashMap<>();
   private int totalInFlight;
@@ -60,6 +62,7 @@
       Function<TargetId, Optional<String>> addresses,
       Consumer<TargetId> onTargetReplaced,
       Consumer<TargetId> onLeaving,
+      ReachSignals reach,
       Runnable onAnswered) {
     this.leases = leases;
     this.gate = new SendGate(clock);
@@ -70,6 +73,7 @@
     this.addresses = addresses;
     this.onTargetReplaced = onTargetReplaced;
     this.onLeaving = onLeaving;
+    this.reach = reach;
     this.onAnswered = onAnswered;
   }
 
@@ -95,6 +99,7 @@
 
   void send(LeaseManager leaseManager, LeaseOrder order) {
     long sentMs = clock.nowMs();
+    reach.onSent(order.target());
     UpperTime decided = clock.upper();
     Optional<String> address = addresses.apply(order.target());
     CompletableFuture<OrderReply> reply =
@@ -128,7 +133,17 @@
     return obstacle.isEmpty();
   }
 
+  /** Tells what the reply shows about the path to the target. */
+  private void signalReach(TargetId target, OrderOutcome outcome) {
+    reach.onEnded(target);
+    switch (outcome) {
+      case DONE, STALE, REJECTED, OTHER_TARGET -> reach.onAnswer(target);
+      default -> reach.onDoubt(target);
+    }
+  }
+
   private void onReply(LeaseManager leaseManager, LeaseOrder order, OrderReply reply, long sentMs) {
+    signalReach(order.target(), reply.outcome());
     if (closed) {
       return;
     }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermCoordinator.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermCoordinator.java
@@ -18,6 +18,7 @@
 import io.cuminvalve.core.protocol.TargetLatency;
 import io.cuminvalve.core.protocol.TargetLatencyReport;
 import io.cuminvalve.core.protocol.TargetReplaced;
+import io.cuminvalve.core.reach.ReachSignals;
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.ServiceProfile;
 import io.cuminvalve.gateway.GatewayPorts;
@@ -137,7 +138,8 @@
       Listener listener,
       boolean storeRestored,
       Function<TargetId, OptionalDouble> limits,
-      Consumer<TargetId> onLeaving) {
+      Consumer<TargetId> onLeaving,
+      ReachSignals reach) {
     this.ports = ports;
     this.state = state;
     this.control = control;
@@ -171,6 +173,7 @@
             this::lastAddressOf,
             this::onReplacedTarget,
             onLeaving,
+            reach,
             this::scheduleCycle);
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/TermLease.java
@@ -15,6 +15,7 @@
 import io.cuminvalve.ports.store.WriteResult;
 import io.cuminvalve.wire.RecordCodec;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -101,6 +102,7 @@
   private final TermHolderRecord ownRecord;
   private final boolean firstCandidate;
   private final double processorCores;
+  private final LongSupplier reachDelayMs;
   private final long graceMs;
   private final Listener listener;
   private final RecordCodec codec;
@@ -129,6 +131,8 @@
    * @param ownRecord the record written when this process acquires the term; not null
    * @param firstCandidate whether this process tries to acquire a vacant term without delay
    * @param processorCores how many cores this process may use; above 0
+   * @param reachDelayMs returns how much longer this process waits before it acquires a vacant
+   *     term, given the targets that it reaches; milliseconds; not null
    * @param graceMs how long the term is kept without confirmation by the store; milliseconds
    * @param reliance how far the holder and its deputies are relied on; not null
    * @param listener receives changes of the term; not null
@@ -143,6 +147,7 @@
       TermHolderRecord ownRecord,
       boolean firstCandidate,
       double processorCores,
+      LongSupplier reachDelayMs,
       long graceMs,
       PeerReliance reliance,
       Listener listener) {
@@ -155,6 +160,7 @@
     this.ownRecord = ownRecord;
     this.firstCandidate = firstCandidate;
     this.processorCores = processorCores;
+    this.reachDelayMs = reachDelayMs;
     this.graceMs = graceMs;
     this.listener = listener;
     this.follower =
@@ -358,7 +364,7 @@
     double slowdown = Math.max(1, UNDELAYED_CANDIDATE_CORES / processorCores);
     long spreadMs =
         (long) (random.nextLong(MIN_CANDIDATE_DELAY_MS, MAX_CANDIDATE_DELAY_MS) * slowdown);
-    long delayMs = firstCandidate ? 0 : spreadMs;
+    long delayMs = (firstCandidate ? 0 : spreadMs) + reachDelayMs.getAsLong();
     return isRestoredWithin(RESTORE_PRIORITY_MS) ? delayMs + FORMER_HOLDER_ADVANTAGE_MS : delayMs;
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReplacedTargetTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/ReplacedTargetTest.java
@@ -15,6 +15,7 @@
 import io.cuminvalve.core.lease.OrderOutcome;
 import io.cuminvalve.core.protocol.ServiceRanges;
 import io.cuminvalve.core.protocol.TargetReplaced;
+import io.cuminvalve.core.reach.ReachSignals;
 import io.cuminvalve.core.route.CallerBounds;
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.ServiceProfile;
@@ -72,6 +73,7 @@
           new TermHolderRecord("one", 1, "127.0.0.1:1"),
           false,
           1,
+          () -> 0,
           GRACE_MS,
           PeerReliance.partial(() -> 1_000),
           new NoOpTermListener());
@@ -153,7 +155,8 @@
         new NoOpListener(),
         false,
         target -> OptionalDouble.empty(),
-        target -> {});
+        target -> {},
+        ReachSignals.IGNORED);
   }
 
   private static FleetTarget target(TargetId id, String address) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermCoordinatorTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermCoordinatorTest.java
@@ -10,6 +10,7 @@
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.lease.LeaseTimings;
 import io.cuminvalve.core.protocol.ServiceRanges;
+import io.cuminvalve.core.reach.ReachSignals;
 import io.cuminvalve.gateway.GatewayPorts;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.traffic.RoutingState;
@@ -54,6 +55,7 @@
             new TermHolderRecord("one", 1, "127.0.0.1:1"),
             true,
             1,
+            () -> 0,
             9_500,
             PeerReliance.partial(() -> 1_460),
             null);
@@ -81,7 +83,8 @@
         listener,
         false,
         target -> OptionalDouble.empty(),
-        target -> {});
+        target -> {},
+        ReachSignals.IGNORED);
   }
 
   /**
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermLeaseTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/TermLeaseTest.java
@@ -26,6 +26,7 @@
   private final TermStore store = new TermStore();
   private final List<String> events = new ArrayList<>();
   private long suspendedMs;
+  private long reachDelayMs;
   private final TermLease lease =
       new TermLease(
           store,
@@ -37,6 +38,7 @@
           new TermHolderRecord("one", 1, "10.0.0.1:1"),
           false,
           1,
+          () -> reachDelayMs,
           GRACE_MS,
           PeerReliance.partial(() -> 1_000),
           new Events());
@@ -120,6 +122,18 @@
     assertThat(events).containsExactly("gained", "lost", "gained").inOrder();
   }
 
+  /** Others that reach the targets acquire the term meanwhile; if there are none, this one does. */
+  @Test
+  void candidateThatReachesNoTargetWaitsLonger() {
+    store.vacateOnEnd();
+    reachDelayMs = 2_000;
+    control.execute(() -> lease.relinquish("test"));
+    baseClock.advance(2_000);
+    assertThat(events).containsExactly("gained", "lost").inOrder();
+    baseClock.advance(1_000);
+    assertThat(events).containsExactly("gained", "lost", "gained").inOrder();
+  }
+
   private void suspend(long forMs) {
     suspendedMs += forMs;
     control.execute(lease::onWoken);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchDelayBoundsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/WatchDelayBoundsTest.java
@@ -263,6 +263,7 @@
             new TermHolderRecord("one", 1, "127.0.0.1:1"),
             true,
             1,
+            () -> 0,
             9_500,
             PeerReliance.partial(() -> 1_460),
             listener);
