--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -67,6 +67,9 @@
   /** Relayed heads are larger than those of callers and targets by the fields of the relay. */
   private static final int MAX_RELAYED_HEADER_BYTES = MAX_HEADER_BYTES + 2 * 1024;
 
+  /** Targets that are probed at a time to learn whether they can be reached. */
+  private static final int REACH_PROBES = 2;
+
   private final Server server;
   private final ServerConnector callers;
   private final ServerConnector relays;
@@ -75,7 +78,8 @@
   private final TargetClient client;
   private final TargetClient peerClient;
   private final RequestTimers timers = new RequestTimers();
-  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS);
+  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, 1);
+  private final ConnectProbe reachProbe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, REACH_PROBES);
   private final TrafficReports reports;
   private final GatewayHandler handler;
 
@@ -152,16 +156,18 @@
             address -> Integer.MAX_VALUE);
     DataCentreId dataCentre = new DataCentreId(settings.dataCentre());
     RelayToken token = new RelayToken(sharedKey);
-    KeyLoadMeter keyLoad = new KeyLoadMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
     TargetDepartures departures = new TargetDepartures(state);
+    ReachMonitor reach = new ReachMonitor(state, reachProbe, timers, clock, log);
     Dispatcher dispatcher =
-        new Dispatcher(state, dataCentre, clock, random.split(), quotas, backoffs);
+        new Dispatcher(state, dataCentre, clock, random.split(), quotas, backoffs, reach::isUsable);
+    reach.onChange(dispatcher::dispatchWaiting);
     backoffs.onStart(dispatcher::onBackoff);
+    KeyLoadMeter keyLoad = new KeyLoadMeter();
     RequestQuarantine quarantine = new RequestQuarantine(clock);
-    CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock);
+    CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock, reach::isDoubtful);
     ExchangeServices services =
         new ExchangeServices(
             state,
@@ -177,6 +183,7 @@
             new RetryBudgets(settings, clock),
             quarantine,
             crashDetector,
+            reach,
             keyLoad,
             timers,
             clock,
@@ -193,6 +200,7 @@
             departures,
             quarantine,
             crashDetector,
+            reach,
             () -> relayAddress(settings.peerHost(), ready));
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
@@ -228,6 +236,10 @@
         "cuminvalve_leaving_targets",
         "Targets that have said in an answer that they leave.",
         () -> state.current().leaving().size());
+    page.addGauge(
+        "cuminvalve_unreachable_targets",
+        "Targets that this gateway cannot reach.",
+        reach::unreachableCount);
     page.addGauge(
         "cuminvalve_resting_targets",
         "Targets that have asked this gateway for rest.",
@@ -288,6 +300,7 @@
     client.stop();
     peerClient.stop();
     probe.close();
+    reachProbe.close();
     timers.stop();
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -11,6 +11,7 @@
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.WeightedService;
 import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -20,6 +21,7 @@
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetClientLimits;
 import java.lang.reflect.Proxy;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -88,8 +90,11 @@
     TargetDepartures departures = new TargetDepartures(state);
     KeyLoadMeter keyLoad = new KeyLoadMeter();
     this.quarantine = new RequestQuarantine(clock);
-    CrashDetector crashDetector = new CrashDetector(state, null, timers, clock);
-    this.dispatcher = new Dispatcher(state, HERE, clock, new SplittableRandom(3), quotas, backoffs);
+    ReachMonitor reach = new ReachMonitor(state, (address, onDone) -> {}, timers, clock, log);
+    CrashDetector crashDetector = new CrashDetector(state, null, timers, clock, reach::isDoubtful);
+    this.dispatcher =
+        new Dispatcher(
+            state, HERE, clock, new SplittableRandom(3), quotas, backoffs, reach::isUsable);
     this.services =
         new ExchangeServices(
             state,
@@ -105,6 +110,7 @@
             null,
             quarantine,
             crashDetector,
+            reach,
             keyLoad,
             timers,
             clock,
@@ -114,7 +120,15 @@
             new StopProgress(clock, new StopPolicy(1_000, 10_000)));
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector, () -> "");
+            keyLoad,
+            dispatcher,
+            quotas,
+            backoffs,
+            departures,
+            quarantine,
+            crashDetector,
+            reach,
+            () -> "");
   }
 
   /** Creates the handler of callers' requests. */
@@ -184,6 +198,14 @@
     }
   }
 
+  /** Submits a request without a key and returns why it is refused; empty if it is not. */
+  Optional<TargetRefusal> refusal() {
+    Placed placed = new Placed();
+    dispatcher.submit(placed.slotRequest);
+    dispatcher.withdraw(placed.slotRequest);
+    return Optional.ofNullable(placed.refusal);
+  }
+
   /** Submits a request without a key; empty if it gets no slot at once. */
   public Optional<Placed> place() {
     Placed placed = new Placed();
@@ -206,6 +228,7 @@
 
     private final SlotRequest slotRequest;
     private Slot slot;
+    private TargetRefusal refusal;
 
     Placed() {
       slotRequest = new SlotRequest(ROUTE, SERVICE, OptionalInt.empty(), 0, this);
@@ -217,7 +240,9 @@
     }
 
     @Override
-    public void onRefused(TargetRefusal refusal) {}
+    public void onRefused(TargetRefusal given) {
+      refusal = given;
+    }
 
     /** Returns the target of its slot. */
     public FleetTarget target() {
@@ -234,6 +259,14 @@
       return beginsAfter(0);
     }
 
+    /** Is refused a connection, by the host of the target or by something on the way there. */
+    void failsToConnect() {
+      TargetAttempt attempt =
+          new TargetAttempt(services, call(null), slotRequest, slot, 0, 0, new IgnoringListener());
+      attempt.onFailure(false, new ConnectException("refused"));
+      attempt.onReleased();
+    }
+
     /** Like {@link #begins}, for a request that may have run on some targets before. */
     boolean beginsAfter(int runs) {
       return new TargetAttempt(services, call(null), slotRequest, slot, runs, 0, null)
@@ -241,6 +274,22 @@
     }
   }
 
+  /** Ignores the result of an attempt. */
+  private static final class IgnoringListener implements TargetAttempt.Listener {
+
+    @Override
+    public void onResponse(TargetAttempt attempt, int status, HttpFields headers, byte[] body) {}
+
+    @Override
+    public void onNotExecuted(TargetAttempt attempt, int status) {}
+
+    @Override
+    public void onStopped(TargetAttempt attempt, SendObstacle obstacle) {}
+
+    @Override
+    public void onFailure(TargetAttempt attempt, boolean mayHaveRun, String reason) {}
+  }
+
   static Request request() {
     EndPoint endPoint = stub(EndPoint.class, Map.of("isOpen", true));
     Connection connection = stub(Connection.class, Map.of("getEndPoint", endPoint));
