Let the test of attempts at peers run into the bound of each peer

Cause: with one target in a service and two attempts, a peer that ignores the runs before it cannot exceed the bound.

Change: none. Test: RelayGateway has two targets for files and three attempts. With the counts ignored at the peer RelayTest.attemptsAtAllPeersTogetherAreBounded fails, by its time limit.

Conclusion: the bound across peers is tested.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
@@ -38,7 +38,7 @@
 /** A gateway server that has a path to its targets, or none and relays its requests to peers. */
 final class RelayGateway implements AutoCloseable {
 
-  static final int MAX_ATTEMPTS = 2;
+  static final int MAX_ATTEMPTS = 3;
   static final long UNREACHABLE_RETRY_MS = 700;
   static final DataCentreId HERE = new DataCentreId("here");
 
@@ -121,6 +121,7 @@
 
   private void configure(String targetAddress) {
     FleetTarget files = target("files-1", FILES, targetAddress);
+    FleetTarget otherFiles = target("files-2", FILES, targetAddress);
     FleetTarget owner = target("bookings-1", BOOKINGS, targetAddress);
     KeyOwners owners = new KeyOwners(List.of(new RangeRoute(0, 65_535, owner.id(), true)));
     RoutingConfiguration configuration =
@@ -137,7 +138,7 @@
     state.update(
         snapshot ->
             snapshot
-                .withTargets(List.of(files, owner))
+                .withTargets(List.of(files, otherFiles, owner))
                 .withOwners(Map.of(BOOKINGS, owners), new OwnersVersion(1, 1))
                 .withConfiguration(configuration));
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayTest.java
@@ -104,7 +104,7 @@
     assertThat(target.arrivalsOf("one")).isEqualTo(1);
   }
 
-  /** Guards against a gateway and its peers that each use all the attempts of a request. */
+  /** Guards against peers that do not count the runs at the peers before them. */
   @Test
   void attemptsAtAllPeersTogetherAreBounded() throws Exception {
     RawTarget target = target((connection, id) -> closeConnection());
