Probe a target that times out alone before others, and less often later

Cause: a single connection without answer took both probes for other targets, so that requests to that target went on waiting; and a target whose host is gone was probed four times a second for as long as it was registered.

Change: the target itself is probed first unless several have failed, and up to four times less often the longer it times out.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/reach/TargetPath.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/reach/TargetPath.java
@@ -6,6 +6,8 @@
   /** One connection request may get lost; two in a row seldom do. */
   private static final int TIMEOUTS_WITHOUT_PATH = 2;
 
+  private static final int MAX_PROBE_INTERVALS = 4;
+
   private static final long NEVER_MS = Long.MIN_VALUE / 2;
 
   private long answeredMs = NEVER_MS;
@@ -81,6 +83,11 @@
     return timeoutsInRow >= TIMEOUTS_WITHOUT_PATH;
   }
 
+  /** Returns how many intervals apart probes of it are: the longer it times out, the more. */
+  int probeIntervals() {
+    return Math.max(1, Math.min(MAX_PROBE_INTERVALS, timeoutsInRow - 1));
+  }
+
   boolean isWaitingSince(long sinceMs) {
     return waiting > 0 && waitingSinceMs <= sinceMs;
   }
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/reach/TargetReach.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/reach/TargetReach.java
@@ -266,6 +266,8 @@
     if (isLost()) {
       chooseForReturn(nowMs, free, chosen);
     } else {
+      boolean several = failedTogether(nowMs).size() >= MIN_TARGETS_FAILED;
+      chooseDoubted(nowMs, several ? 0 : Math.min(1, free), chosen);
       chooseWitness(nowMs, free, chosen);
       chooseDoubted(nowMs, free, chosen);
       chooseSilent(nowMs, free, chosen);
@@ -305,7 +307,7 @@
         path ->
             path.needsConfirmation()
                 || ((path.isDoubted() || path.timesOut())
-                    && nowMs - path.probedMs() >= PROBE_INTERVAL_MS);
+                    && nowMs - path.probedMs() >= PROBE_INTERVAL_MS * path.probeIntervals());
     choose(due, Comparator.comparingLong(TargetPath::probedMs), free, chosen);
   }
 
