--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -138,7 +138,12 @@
 
   /** Hands a request to a handler; all come on the same connection. */
   void handle(GatewayHandler handler, Callback completion) {
-    handler.handle(request(), response(), completion);
+    handle(handler, request(), completion);
+  }
+
+  /** Hands a request to a handler. */
+  void handle(GatewayHandler handler, Request request, Callback completion) {
+    handler.handle(request, response(), completion);
   }
 
   /** Ends a request that was not sent to a target. */
