Answer requests that are routed while the stop limit passes

Cause: callers of a stopping gateway could get no response: a request that was ended between its mark and its first phase had nothing that writes one, and all later writes found it ended.

Change: the first phase, ROUTING, is entered before the request counts as in progress, with a refusal for its end. A stopping gateway forwards no request to a peer that might outlast it.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -81,6 +81,7 @@
   public boolean handle(Request request, Response response, Callback callback) {
     RequestInProgress inProgress =
         new RequestInProgress(requests, request, response, callback, earliestArrival(request));
+    inProgress.enter(RequestPhase.ROUTING, () -> refuseAtStopLimit(inProgress));
     boolean admitted = requests.add(inProgress);
     Optional<RoutingConfiguration> configuration = services.state().current().configuration();
     if (!admitted) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -306,7 +306,7 @@
 
   /**
    * Closes all connections without a request in progress. New connections are accepted until the
-   * server stops: a caller that is still directed here gets a response sooner than elsewhere.
+   * server stops, since callers may still be directed here.
    *
    * <p>A caller that sends a request at that moment finds its connection closed and can tell that
    * the request was not read.
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerForwarding.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerForwarding.java
@@ -44,9 +44,14 @@
     this.exchange = exchange;
   }
 
-  /** Returns whether a peer is left for the request; none is if a peer sent it here. */
+  /**
+   * Returns whether a peer is left for the request; none is if a peer sent it here. A stopping
+   * process forwards no request that it may have to end before the peer does.
+   */
   boolean isPossible() {
-    return call.relayed().isEmpty() && services.relay().knowsOtherThan(tried);
+    return call.relayed().isEmpty()
+        && services.relay().knowsOtherThan(tried)
+        && services.stop().admits(call.deadline());
   }
 
   /** Returns whether the request has been forwarded. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
@@ -17,7 +17,7 @@
   private final Response response;
   private final Callback callback;
   private final UpperTime arrived;
-  private volatile RequestPhase phase = RequestPhase.ANSWERING;
+  private volatile RequestPhase phase = RequestPhase.ROUTING;
   private Runnable ender = () -> {};
   private boolean endedEarly;
 
