--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -315,6 +315,7 @@
 
   private static Response response() {
     HttpFields.Mutable headers = HttpFields.build();
+    Request request = request();
     return (Response)
         Proxy.newProxyInstance(
             TrafficFixture.class.getClassLoader(),
@@ -323,7 +324,11 @@
               if (method.getName().equals("write")) {
                 ((Callback) arguments[2]).succeeded();
               }
-              return method.getName().equals("getHeaders") ? headers : null;
+              return switch (method.getName()) {
+                case "getHeaders" -> headers;
+                case "getRequest" -> request;
+                default -> null;
+              };
             });
   }
 
