Give all buffered bodies of a gateway one budget of memory

Cause: each attempt could buffer an answer of 64 MB, and each request a body of 64 MB, in a heap of 160 MB; nothing bounded the sum. A target that sends without end could use up the heap, and its caller waited until the time limit. The library's chunks were kept, so that many small ones took more than their bytes, and were joined, which took the memory twice.

Change: BufferBudget (core) divides three fifths of the heap: 8 KB for each body in any case; an answer gets an eighth at most, and no more than it leaves free; request bodies leave a quarter free. BodyReading copies bodies into parts that are never joined. A declared length that does not fit fails before anything is read. An answer that does not fit closes its connection, counts as unanswered and ends with 502 or an attempt elsewhere; a request body that does not fit ends with 503 and Retry-After, unsent. A body of chunks above the bound of the configuration gets 413. Fingerprints of requests are unchanged. Requests and answers are in one commit, since both use the same parts. Test: BufferBudgetTest, EndlessResponseTest, UploadRoomTest.

Interim responses and size lines of chunks without end are still read until the time limit.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/quarantine/RequestFingerprint.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/quarantine/RequestFingerprint.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.HashStream64;
 import com.dynatrace.hash4j.hashing.Hasher64;
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.List;
 import java.util.OptionalInt;
 
 /**
@@ -22,7 +23,7 @@
   private static final int NO_KEY = -1;
 
   /**
-   * Returns the fingerprint of a request.
+   * Returns the fingerprint of a request whose body is in one piece.
    *
    * @param method the HTTP method; not null
    * @param host the requested host; not null
@@ -33,12 +34,32 @@
    */
   public static RequestFingerprint of(
       String method, String host, String pathAndQuery, OptionalInt key, byte[] body) {
+    return of(method, host, pathAndQuery, key, List.of(body));
+  }
+
+  /**
+   * Returns the fingerprint of a request.
+   *
+   * @param method the HTTP method; not null
+   * @param host the requested host; not null
+   * @param pathAndQuery path and query as forwarded to the target; not null
+   * @param key the key, if the service is keyed; not null
+   * @param body the body in parts of any size; empty if there is none; not null
+   * @return never null
+   */
+  public static RequestFingerprint of(
+      String method, String host, String pathAndQuery, OptionalInt key, List<byte[]> body) {
     HashStream64 stream = HASHER.hashStream();
     stream.putString(method);
     stream.putString(host);
     stream.putString(pathAndQuery);
     stream.putInt(key.orElse(NO_KEY));
-    stream.putByteArray(body);
+    int bodyBytes = 0;
+    for (byte[] part : body) {
+      bodyBytes += part.length;
+      stream.putBytes(part);
+    }
+    stream.putInt(bodyBytes);
     return new RequestFingerprint(stream.getAsLong());
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -41,7 +41,7 @@
     OptionalInt key,
     RequestIdentity identity,
     HttpFields headers,
-    byte[] body,
+    BufferedBody body,
     long arrivedMs,
     long deadlineMs,
     UpperTime deadline,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerResponseWriter.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerResponseWriter.java
@@ -1,10 +1,11 @@
 package io.cuminvalve.gateway.traffic;
 
-import java.nio.ByteBuffer;
 import java.util.Locale;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.content.ByteBufferContentSource;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 
@@ -32,14 +33,14 @@
       Response response,
       int status,
       HttpFields headers,
-      byte[] body,
+      BufferedBody body,
       boolean closeConnection,
       Callback callback) {
     response.setStatus(status);
     response.getHeaders().add(headers);
     setConnectionClose(response, closeConnection);
-    response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length);
-    response.write(true, ByteBuffer.wrap(body), callback);
+    response.getHeaders().put(HttpHeader.CONTENT_LENGTH, body.length());
+    Content.copy(new ByteBufferContentSource(body.views()), response, callback);
   }
 
   /** Writes a response without a body that comes from this gateway, not from a target. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -19,6 +19,7 @@
  * @param quotas tracks the rate limits of targets; not null
  * @param signals reads the signals of targets in their responses; not null
  * @param backoffs tracks the targets that asked for a back-off; not null
+ * @param buffers the memory for bodies; not null
  * @param client the HTTP client for targets; not null
  * @param budgets limit retries; not null
  * @param quarantine holds back requests that crash targets; not null
@@ -39,6 +40,7 @@
     TargetQuotas quotas,
     SignalReader signals,
     TargetBackoffs backoffs,
+    BodyBuffers buffers,
     TargetClient client,
     RetryBudgets budgets,
     RequestQuarantine quarantine,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -35,6 +35,7 @@
   private volatile Slot slot;
   private volatile TargetAttempt currentAttempt;
   private volatile TargetAnswerBody response;
+  private volatile boolean relaying;
   private volatile Cancellable deadlineTimer = () -> {};
   private volatile Cancellable slotWaitTimer = () -> {};
 
@@ -43,7 +44,7 @@
     this.call = call;
     this.onEnded = onEnded;
     this.slotRequest =
-        new SlotRequest(call.route(), call.service(), call.key(), call.body().length, this);
+        new SlotRequest(call.route(), call.service(), call.key(), call.body().length(), this);
     this.machine = new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget);
   }
 
@@ -147,9 +148,12 @@
   }
 
   @Override
-  public void onResponse(TargetAttempt attempt, int status, HttpFields headers, byte[] body) {
+  public void onResponse(TargetAttempt attempt, int status, HttpFields headers, BufferedBody body) {
     response = new TargetAnswerBody(status, headers, body);
     decide(() -> machine.onAnswer(status, services.clock().nowMs()));
+    if (!relaying) {
+      body.release();
+    }
   }
 
   @Override
@@ -290,6 +294,7 @@
 
   private void relay(boolean failed) {
     TargetAnswerBody complete = response;
+    relaying = true;
     count(failed ? RequestOutcome.FAILED_AT_TARGET : RequestOutcome.ANSWERED);
     String event = failed ? "request_failed_at_target" : "request_served";
     log(event, currentAttempt, "status_" + complete.status());
@@ -299,7 +304,7 @@
         CallerHeaders.passedOn(complete.headers()),
         complete.body(),
         services.stopping().getAsBoolean(),
-        Callback.from(call.callback(), onEnded));
+        Callback.from(Callback.from(call.callback(), complete.body()::release), onEnded));
   }
 
   private void respond(int status, long retryAfterMs, String reason) {
@@ -371,5 +376,5 @@
   }
 
   /** A response of a target, buffered completely. */
-  private record TargetAnswerBody(int status, HttpFields headers, byte[] body) {}
+  private record TargetAnswerBody(int status, HttpFields headers, BufferedBody body) {}
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -14,7 +14,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -124,7 +123,7 @@
     if (hasBody(request)) {
       readBody(request, response, callback, configuration, route.get(), arrived);
     } else {
-      begin(request, response, callback, configuration, route.get(), arrived, new byte[0]);
+      begin(request, response, callback, configuration, route.get(), arrived, BufferedBody.EMPTY);
     }
   }
 
@@ -149,19 +148,32 @@
       RoutingConfiguration configuration,
       Route route,
       UpperTime arrived) {
-    int limit = (int) Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
-    Content.Source.asByteArrayAsync(request, limit)
+    long limit = Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
+    services
+        .buffers()
+        .readRequest(request, request.getLength(), limit)
         .whenComplete(
             (body, failure) -> {
               if (failure == null) {
                 begin(request, response, callback, configuration, route, arrived, body);
               } else {
                 busyEndPoints.remove(endPointOf(request));
-                callback.failed(failure);
+                onUnreadBody(request, response, callback, failure);
               }
             });
   }
 
+  private void onUnreadBody(
+      Request request, Response response, Callback callback, Throwable failure) {
+    if (!(failure instanceof BodyRefusedException refused)) {
+      callback.failed(failure);
+    } else if (refused.isTooLarge()) {
+      refuse(request, response, CallerResponseWriter.TOO_LARGE, "body_too_large", callback);
+    } else {
+      refuse(request, response, CallerResponseWriter.UNAVAILABLE, "body_no_room", callback);
+    }
+  }
+
   private void begin(
       Request request,
       Response response,
@@ -169,7 +181,7 @@
       RoutingConfiguration configuration,
       Route route,
       UpperTime arrived,
-      byte[] body) {
+      BufferedBody body) {
     ServiceId service = route.choose(random.nextDouble());
     String attemptId = request.getHeaders().get(services.headers().attemptId());
     OptionalInt key = OptionalInt.empty();
@@ -177,6 +189,7 @@
       key = keyOf(request);
       if (key.isEmpty()) {
         busyEndPoints.remove(endPointOf(request));
+        body.release();
         refuse(request, response, CallerResponseWriter.BAD_REQUEST, "no_key", callback);
         return;
       }
@@ -200,17 +213,22 @@
             arrived.plusMs(timeLimitMs),
             configuration.version());
     EndPoint endPoint = endPointOf(request);
-    new GatewayExchange(services, call, () -> busyEndPoints.remove(endPoint)).start();
+    Runnable onEnded =
+        () -> {
+          busyEndPoints.remove(endPoint);
+          body.release();
+        };
+    new GatewayExchange(services, call, onEnded).start();
   }
 
-  private static RequestIdentity identityOf(Request request, OptionalInt key, byte[] body) {
+  private static RequestIdentity identityOf(Request request, OptionalInt key, BufferedBody body) {
     RequestFingerprint content =
         RequestFingerprint.of(
             request.getMethod(),
             CallerRequest.hostOf(request),
             request.getHttpURI().getPathQuery(),
             key,
-            body);
+            body.parts());
     return new RequestIdentity(content, content.by(Request.getRemoteAddr(request)));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.buffer.BufferBudget;
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.gateway.AnswerDecoder;
@@ -58,6 +59,7 @@
   private final TargetClient client;
   private final RequestTimers timers = new RequestTimers();
   private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS);
+  private final BodyBuffers buffers;
   private final TrafficReports reports;
   private final GatewayHandler handler;
 
@@ -86,12 +88,39 @@
       MetricsPage page,
       BooleanSupplier ready,
       BooleanSupplier stopping) {
+    this(
+        settings,
+        state,
+        clock,
+        log,
+        metrics,
+        decoder,
+        unknownFields,
+        page,
+        ready,
+        stopping,
+        BufferBudget.ofHeap(Runtime.getRuntime().maxMemory()));
+  }
+
+  GatewayServer(
+      GatewaySettings settings,
+      RoutingState state,
+      MillisClock clock,
+      DecisionLog log,
+      RequestMetrics metrics,
+      AnswerDecoder decoder,
+      UnknownFields unknownFields,
+      MetricsPage page,
+      BooleanSupplier ready,
+      BooleanSupplier stopping,
+      BufferBudget budget) {
     SplittableRandom random = new SplittableRandom();
     this.client =
         new TargetClient(
             new TargetClientLimits(
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
+    this.buffers = new BodyBuffers(budget);
     KeyLoadMeter keyLoad = new KeyLoadMeter();
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
@@ -117,6 +146,7 @@
             quotas,
             new SignalReader(decoder, quotas, backoffs, departures, unknownFields, log),
             backoffs,
+            buffers,
             client,
             new RetryBudgets(settings, clock),
             quarantine,
@@ -139,6 +169,10 @@
     Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, handler);
     server.setHandler(new MetricsHandler(scrapes, page, traffic));
     page.addGauge("cuminvalve_requests_in_flight", "Requests without an answer.", this::inFlight);
+    page.addGauge(
+        "cuminvalve_buffered_bytes",
+        "Memory for buffered bodies of requests and responses.",
+        buffers::usedBytes);
     page.addGauge(
         "cuminvalve_requests_waiting",
         "Requests that wait for a slot of a target.",
@@ -233,6 +267,11 @@
     return handler.inFlight();
   }
 
+  /** Returns the memory that buffered bodies take; bytes. */
+  long bufferedBytes() {
+    return buffers.usedBytes();
+  }
+
   /**
    * Returns the reports on the traffic.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -15,11 +15,10 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 
 /**
  * One attempt to send a request to a target and to receive its response.
@@ -35,7 +34,7 @@
   interface Listener {
 
     /** The target ran the request and its response is complete. */
-    void onResponse(TargetAttempt attempt, int status, HttpFields headers, byte[] body);
+    void onResponse(TargetAttempt attempt, int status, HttpFields headers, BufferedBody body);
 
     /** The target stated that it did not run the request and never will. */
     void onNotExecuted(TargetAttempt attempt, int status);
@@ -47,9 +46,6 @@
     void onFailure(TargetAttempt attempt, boolean mayHaveRun, String reason);
   }
 
-  /** Responses are buffered completely before they are relayed; larger ones fail the attempt. */
-  private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
-
   private static final int FIRST_ERROR_STATUS = 500;
 
   private final ExchangeServices services;
@@ -126,8 +122,8 @@
     if (!declared) {
       return null;
     }
-    return new BytesRequestContent(
-        call.request().getHeaders().get(HttpHeader.CONTENT_TYPE), call.body());
+    return new ByteBufferRequestContent(
+        call.request().getHeaders().get(HttpHeader.CONTENT_TYPE), call.body().views());
   }
 
   FleetTarget target() {
@@ -181,7 +177,9 @@
           stated -> services.dispatcher().onOccupancyStated(slot.target().service()));
       services.signals().onAnswer(slot.target(), signals, sentMs);
     }
-    Content.Source.asByteArrayAsync(response.body(), MAX_RESPONSE_BYTES)
+    services
+        .buffers()
+        .readResponse(response.body(), response.headers().getLongField(HttpHeader.CONTENT_LENGTH))
         .whenComplete((body, failure) -> onBodyRead(response, signals, body, failure));
   }
 
@@ -194,7 +192,12 @@
   }
 
   private void onBodyRead(
-      TargetAnswer response, TargetSignals signals, byte[] body, Throwable failure) {
+      TargetAnswer response, TargetSignals signals, BufferedBody body, Throwable failure) {
+    if (failure instanceof BodyRefusedException refused) {
+      exchange.abandon("the response does not fit");
+      fail(true, refused.isTooLarge() ? "answer_too_large" : "answer_no_room");
+      return;
+    }
     if (failure != null) {
       exchange.abandon("the response was incomplete");
       onBroken();
@@ -202,6 +205,7 @@
       return;
     }
     if (signals.notExecuted()) {
+      body.release();
       detectReplacement(signals);
       outcome = AttemptOutcome.FAILED;
       if (ended.compareAndSet(false, true)) {
@@ -215,9 +219,11 @@
     if (!failed) {
       services.quarantine().onAnswer(call.identity());
     }
-    slotRequest.setResponseBytes(body.length);
+    slotRequest.setResponseBytes(body.length());
     if (ended.compareAndSet(false, true)) {
       listener.onResponse(this, response.status(), response.headers(), body);
+    } else {
+      body.release();
     }
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.buffer.BufferBudget;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetPhase;
 import io.cuminvalve.core.fleet.TargetSignals;
@@ -50,6 +51,9 @@
   /** The longest time that a caller waits; virtual time. */
   static final long ROUTE_TIMEOUT_MS = 120_000;
 
+  /** The memory for bodies. */
+  static final long BUDGET_BYTES = 4L * 1024 * 1024;
+
   private static final ServiceId SERVICE = new ServiceId("files");
   private static final DataCentreId HERE = new DataCentreId("here");
   private static final String BLOCKER = "blocker-";
@@ -86,7 +90,8 @@
             unknown,
             new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
             () -> true,
-            () -> false);
+            () -> false,
+            new BufferBudget(BUDGET_BYTES));
     server.start();
   }
 
@@ -118,6 +123,11 @@
 
   /** Installs a route, and the target under two names, so that requests can be retried. */
   StallableGateway configure() {
+    return configureAt(target.address(), target.address());
+  }
+
+  /** Installs a route to targets at some addresses. */
+  StallableGateway configureAt(String... addresses) {
     Route route =
         new Route(
             "files",
@@ -129,19 +139,16 @@
             0,
             List.of(new WeightedService(SERVICE, 1)),
             3);
-    FleetTarget registered =
-        new FleetTarget(
-            new TargetId("files-1"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
-    FleetTarget other =
-        new FleetTarget(
-            new TargetId("files-2"), SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
+    List<FleetTarget> registered = new ArrayList<>();
+    for (String address : addresses) {
+      TargetId id = new TargetId("files-" + (registered.size() + 1));
+      registered.add(new FleetTarget(id, SERVICE, address, HERE, 64, TargetPhase.READY, 0));
+    }
     // Targets and routes never get outdated here: the tests are about the caller.
     state.watch(this::upper, () -> 1_900, () -> true);
     state.update(
         snapshot ->
-            snapshot
-                .withTargets(List.of(registered, other))
-                .withConfiguration(configuration(route, false)));
+            snapshot.withTargets(registered).withConfiguration(configuration(route, false)));
     return this;
   }
 
@@ -155,6 +162,11 @@
 
   /** Installs a route for requests that must not run twice, whose keys all belong to one target. */
   StallableGateway configureKeyed() {
+    return configureKeyedAt(target.address());
+  }
+
+  /** Installs such a route to a target at an address. */
+  StallableGateway configureKeyedAt(String address) {
     Route route =
         new Route(
             "bookings",
@@ -168,7 +180,7 @@
             3);
     TargetId owner = new TargetId("bookings-1");
     FleetTarget registered =
-        new FleetTarget(owner, SERVICE, target.address(), HERE, 64, TargetPhase.READY, 0);
+        new FleetTarget(owner, SERVICE, address, HERE, 64, TargetPhase.READY, 0);
     KeyOwners owners = new KeyOwners(List.of(new RangeRoute(0, 65_535, owner, true)));
     state.watch(this::upper, () -> 1_900, () -> true);
     state.update(
@@ -280,6 +292,11 @@
     clock.advance(durationMs);
   }
 
+  /** Returns the memory that buffered bodies take; bytes. */
+  long bufferedBytes() {
+    return server.bufferedBytes();
+  }
+
   int inFlight() {
     return server.inFlight();
   }
@@ -390,6 +407,13 @@
       return Integer.parseInt(head.split(" ")[1]);
     }
 
+    /** Reads a complete response and returns its body. */
+    String body() throws IOException {
+      String head = RawTarget.readHead(socket.getInputStream());
+      int length = RawTarget.header(head, "Content-Length").map(Integer::parseInt).orElse(0);
+      return new String(socket.getInputStream().readNBytes(length), StandardCharsets.ISO_8859_1);
+    }
+
     @Override
     public void close() throws IOException {
       socket.close();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.buffer.BufferBudget;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetSignals;
 import io.cuminvalve.core.id.DataCentreId;
@@ -89,6 +90,7 @@
             quotas,
             new SignalReader(null, quotas, backoffs, departures, null, log),
             backoffs,
+            new BodyBuffers(new BufferBudget(0)),
             new TargetClient(TargetClientLimits.DEFAULT, address -> 1),
             null,
             quarantine,
@@ -201,7 +203,7 @@
               OptionalInt.empty(),
               IDENTITY,
               HttpFields.EMPTY,
-              new byte[0],
+              BufferedBody.EMPTY,
               clock.nowMs(),
               DEADLINE_MS,
               clock.upper().plusMs(DEADLINE_MS),
