Test interim responses and size lines of chunks without end

Cause: the client library reads 1xx responses and the size line of a chunk without a bound, so that a request waits until its time limit. They take no memory for bodies.

Change: none to the product.

Conclusion: open.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/EndlessResponseTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/EndlessResponseTest.java
@@ -77,6 +77,30 @@
     assertCutOff(id -> "", "\r\n");
   }
 
+  /** Guards against a chunk whose size line never ends. */
+  @Test
+  void sizeLinesWithoutEndAreCutOff() throws Exception {
+    assertCutOff(id -> success(id, "Transfer-Encoding: chunked\r\n") + "1;", "x".repeat(8_192));
+  }
+
+  /** Guards against interim responses without end. */
+  @Test
+  void interimResponsesWithoutEndAreCutOff() throws Exception {
+    assertCutOff(id -> "", "HTTP/1.1 102 Processing\r\n\r\n");
+  }
+
+  /** Guards against "continue" responses without end. */
+  @Test
+  void continueResponsesWithoutEndAreCutOff() throws Exception {
+    assertCutOff(id -> "", "HTTP/1.1 100 Continue\r\n\r\n");
+  }
+
+  /** Guards against early hints without end. */
+  @Test
+  void earlyHintsWithoutEndAreCutOff() throws Exception {
+    assertCutOff(id -> "", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n");
+  }
+
   /** Guards against callers of good targets who pay for the faulty ones. */
   @Test
   void requestsAreServedByGoodTargetsBesideFaultyOnes() throws Exception {
