--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway;
 
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.gateway.control.FleetControl;
 import io.cuminvalve.gateway.control.StoreCircuitBreaker;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -10,6 +11,7 @@
 import io.cuminvalve.gateway.observe.UnknownFields;
 import io.cuminvalve.gateway.traffic.GatewayServer;
 import io.cuminvalve.gateway.traffic.RoutingState;
+import io.cuminvalve.gateway.traffic.StopProgress;
 import io.cuminvalve.kernel.BootClock;
 import io.cuminvalve.kernel.ControlThread;
 import io.cuminvalve.kernel.FailureHandler;
@@ -47,6 +49,10 @@
   private static final long UNUSABLE_STORE_BACKOFF_MS = 500;
 
   private static final long STOP_POLL_MS = 20;
+
+  /** A caller that has opened a connection or read a response sends a request within this time. */
+  private static final long SETTLED_MS = 1_000;
+
   private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
@@ -61,7 +67,7 @@
   private final RoutingState state = new RoutingState(INITIAL_GATEWAY_COUNT);
   private final GatewayServer server;
   private final FleetControl fleet;
-  private volatile boolean stopping;
+  private final StopProgress stop;
 
   /**
    * Creates a gateway that is not started.
@@ -73,6 +79,7 @@
   public Gateway(
       GatewaySettings settings, SharedKey sharedKey, Function<StoreCallGuard, GatewayPorts> ports) {
     this.settings = settings;
+    this.stop = new StopProgress(clock, settings.stopPolicy());
     state.setEvacuationGraceMs(settings.evacuationGraceMs());
     StoreCircuitBreaker circuitBreaker =
         new StoreCircuitBreaker(clock, storeCalls, new SplittableRandom(), this::maxStoreBackoffMs);
@@ -87,8 +94,9 @@
             guarded.answers(),
             unknownFields,
             metricsPage,
+            sharedKey,
             this::isReady,
-            () -> stopping);
+            stop);
     this.fleet =
         new FleetControl(
             guarded, settings, sharedKey, state, control, clock, log, server.reports());
@@ -188,7 +196,7 @@
    * @return false before the configuration and the targets are known and after shutdown has begun
    */
   public boolean isReady() {
-    return !stopping && state.current().isUsable();
+    return !stop.isStopping() && state.current().isUsable();
   }
 
   /**
@@ -202,27 +210,48 @@
 
   /**
    * Shuts down gracefully: releases the term, continues to serve until callers have been redirected
-   * and requests have completed, then closes all components.
+   * and requests have completed, then closes all components. Requests that are left at the limit
+   * are ended by this gateway before that.
    *
    * @throws InterruptedException if the thread is interrupted
    */
   public void stop() throws InterruptedException {
-    final long startMs = clock.nowMs();
-    stopping = true;
+    stop.begin();
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
-    while (clock.nowMs() - startMs < settings.stopLimitMs()) {
-      if (clock.nowMs() - startMs >= settings.stopNoticeMs()) {
-        server.closeIdleConnections();
-        if (server.inFlight() == 0) {
-          break;
+    awaitRequests(settings.stopPolicy());
+    awaitResponses(settings.stopPolicy());
+    log.write(
+        "stopped",
+        "in_flight={} {} after_ms={}",
+        server.inFlight(),
+        server.inFlightByPhase(),
+        stop.sinceMs());
+    fleet.retire();
+    close();
+  }
+
+  /** Waits until callers have been redirected and requests have completed, or the limit. */
+  private void awaitRequests(StopPolicy policy) throws InterruptedException {
+    while (stop.sinceMs() < policy.requestsEndMs()) {
+      if (policy.isNoticeOver(stop.sinceMs())) {
+        server.closeConnectionsIdleFor(SETTLED_MS);
+        if (server.closeIfIdle()) {
+          return;
         }
       }
       Thread.sleep(STOP_POLL_MS);
     }
-    log.write("stopped", "in_flight={} after_ms={}", server.inFlight(), clock.nowMs() - startMs);
-    fleet.retire();
-    close();
+    log.write("stop_limit_reached", "in_flight={} {}", server.inFlight(), server.inFlightByPhase());
+    server.endRequests();
+  }
+
+  /** Waits until the responses of requests that were ended or refused have been written. */
+  private void awaitResponses(StopPolicy policy) throws InterruptedException {
+    while (server.inFlight() > 0 && stop.sinceMs() < policy.limitMs()) {
+      Thread.sleep(STOP_POLL_MS);
+    }
+    server.closeIdleConnections();
   }
 
   /** Closes all components immediately, without waiting for requests in progress. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.lease.LeaseTimings;
 import io.cuminvalve.core.quota.ColdBound;
+import io.cuminvalve.core.stop.StopPolicy;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Optional;
@@ -17,6 +18,8 @@
  * @param readinessPath the path of the readiness endpoint; not null
  * @param peerHost the IP address to listen on for other gateways; not null
  * @param peerPort the port to listen on for other gateways; 0 for any free port
+ * @param relayPort the port to listen on for requests that other gateways relay; 0 for any free
+ *     port
  * @param headers the names of the header fields; not null
  * @param firstCandidate whether it tries to acquire a vacant term without delay
  * @param processorCores the number of cores it may use; processes with few cores wait longer before
@@ -46,6 +49,7 @@
     String readinessPath,
     String peerHost,
     int peerPort,
+    int relayPort,
     RequestHeaders headers,
     boolean firstCandidate,
     double processorCores,
@@ -64,4 +68,13 @@
   public GatewaySettings {
     seedPeers = List.copyOf(seedPeers);
   }
+
+  /**
+   * Returns which requests are taken during a shutdown.
+   *
+   * @return never null
+   */
+  public StopPolicy stopPolicy() {
+    return new StopPolicy(Math.min(stopNoticeMs, stopLimitMs), stopLimitMs);
+  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/BodyReading.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/BodyReading.java
@@ -5,8 +5,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongConsumer;
 import org.eclipse.jetty.io.Content;
 
@@ -40,8 +40,8 @@
   private final LongConsumer onRelease;
   private final CompletableFuture<BufferedBody> result = new CompletableFuture<>();
   private final List<ByteBuffer> parts = new ArrayList<>();
-  private final AtomicBoolean released = new AtomicBoolean();
   private long heldBytes;
+  private boolean released;
   private long length;
 
   BodyReading(Content.Source source, long maxBytes, Budget budget, LongConsumer onRelease) {
@@ -51,7 +51,14 @@
     this.onRelease = onRelease;
   }
 
+  /** Starts to read. Whoever cancels the result ends the reading and releases its memory. */
   CompletableFuture<BufferedBody> start() {
+    result.whenComplete(
+        (body, failure) -> {
+          if (failure != null) {
+            release();
+          }
+        });
     run();
     return result;
   }
@@ -107,16 +114,23 @@
       return parts.get(parts.size() - 1);
     }
     int partBytes = (int) Math.min(MAX_PART_BYTES, Math.max(FIRST_PART_BYTES, heldBytes));
-    Grant grant = budget.take(heldBytes, partBytes);
-    if (grant != Grant.GRANTED) {
-      throw new BodyRefusedException(grant);
-    }
-    heldBytes += partBytes;
+    take(partBytes);
     ByteBuffer part = ByteBuffer.allocate(partBytes);
     parts.add(part);
     return part;
   }
 
+  private synchronized void take(int moreBytes) {
+    if (released) {
+      throw new CancellationException("nobody waits for the body");
+    }
+    Grant grant = budget.take(heldBytes, moreBytes);
+    if (grant != Grant.GRANTED) {
+      throw new BodyRefusedException(grant);
+    }
+    heldBytes += moreBytes;
+  }
+
   private void succeed() {
     List<byte[]> content = new ArrayList<>();
     for (ByteBuffer part : parts) {
@@ -128,12 +142,12 @@
 
   private void fail(Throwable failure) {
     parts.clear();
-    release();
     result.completeExceptionally(failure);
   }
 
-  private void release() {
-    if (released.compareAndSet(false, true)) {
+  private synchronized void release() {
+    if (!released) {
+      released = true;
       onRelease.accept(heldBytes);
     }
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -23,19 +23,21 @@
  *
  * <p>Decisions are made under this object's monitor, effects are executed without it.
  */
-final class GatewayExchange implements TargetAttempt.Listener, SlotRequest.Listener {
+final class GatewayExchange
+    implements TargetAttempt.Listener, SlotRequest.Listener, PeerForwarding.Exchange {
 
   private final ExchangeServices services;
   private final CallerRequest call;
   private final SlotRequest slotRequest;
   private final ExchangeStateMachine machine;
+  private final PeerForwarding forwarding;
   private final Runnable onEnded;
   private final Map<String, Integer> attemptsByAddress = new HashMap<>();
 
   private volatile Slot slot;
   private volatile TargetAttempt currentAttempt;
   private volatile TargetAnswerBody response;
-  private volatile boolean relaying;
+  private volatile TargetAnswerBody relayed;
   private volatile Cancellable deadlineTimer = () -> {};
   private volatile Cancellable slotWaitTimer = () -> {};
 
@@ -45,7 +47,9 @@
     this.onEnded = onEnded;
     this.slotRequest =
         new SlotRequest(call.route(), call.service(), call.key(), call.body().length(), this);
-    this.machine = new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget);
+    this.machine =
+        new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget, earlierRuns(call));
+    this.forwarding = new PeerForwarding(services, call, machine, this);
   }
 
   private static ExchangeProfile profileOf(CallerRequest call) {
@@ -53,14 +57,22 @@
     return new ExchangeProfile(
         route.idempotent(),
         call.key().isPresent(),
-        route.maxAttempts(),
+        Math.min(
+            route.maxAttempts(),
+            call.relayed().map(RelayedRequest::maxRuns).orElse(Integer.MAX_VALUE)),
         route.targetLatencyMs(),
         call.arrivedMs(),
         call.deadlineMs());
   }
 
+  private static int earlierRuns(CallerRequest call) {
+    return call.relayed().map(RelayedRequest::earlierRuns).orElse(0);
+  }
+
   void start() {
-    services.budgets().onRequest(call.service());
+    if (call.relayed().isEmpty()) {
+      services.budgets().onRequest(call.service());
+    }
     call.watchCaller(this::onCallerGone);
     long nowMs = services.clock().nowMs();
     deadlineTimer =
@@ -89,7 +101,10 @@
   @Override
   public void onRefused(TargetRefusal refusal) {
     slotWaitTimer.cancel();
-    recordUnservedLoad();
+    // The peer that serves a forwarded request counts its load.
+    if (refusal.cause() != TargetRefusal.Cause.UNREACHABLE || !forwarding.isPossible()) {
+      recordUnservedLoad();
+    }
     switch (refusal.cause()) {
       case REST -> {
         logRefusal("request_held_off", refusal, "");
@@ -103,6 +118,11 @@
         logRefusal("request_evacuated", refusal, "");
         decide(() -> machine.onServiceEvacuated(refusal.retryAfterMs()));
       }
+      case UNREACHABLE -> {
+        logRefusal("request_unreachable", refusal, "");
+        long nowMs = services.clock().nowMs();
+        decide(() -> machine.onUnreachable(forwarding.isPossible(), refusal.retryAfterMs(), nowMs));
+      }
       default -> {
         logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
         decide(() -> machine.onLimited(refusal.retryAfterMs()));
@@ -149,11 +169,9 @@
 
   @Override
   public void onResponse(TargetAttempt attempt, int status, HttpFields headers, BufferedBody body) {
-    response = new TargetAnswerBody(status, headers, body);
-    decide(() -> machine.onAnswer(status, services.clock().nowMs()));
-    if (!relaying) {
-      body.release();
-    }
+    decideOn(
+        new TargetAnswerBody(status, headers, body),
+        () -> machine.onAnswer(status, services.clock().nowMs()));
   }
 
   @Override
@@ -174,7 +192,7 @@
     switch (obstacle.condition()) {
       case CALLER_PRESENT -> onCallerGone();
       case TIME_LEFT -> decide(() -> machine.onDeadline(false));
-      case ROUTE_IN_FORCE -> decide(() -> machine.onNoSlot(obstacle.label()));
+      case ROUTE_IN_FORCE, ENDS_BEFORE_STOP -> decide(() -> machine.onNoSlot(obstacle.label()));
       case QUARANTINE_CLEAR -> endIfQuarantined(Math.max(1, quarantinedForMs()));
       default -> onTargetUnusable(obstacle);
     }
@@ -191,14 +209,42 @@
   }
 
   private void onDeadline() {
-    decide(() -> machine.onDeadline(currentAttempt != null && !currentAttempt.preventHandover()));
+    decide(() -> machine.onDeadline(isHandedOver()));
+  }
+
+  /** Returns whether sending may have begun; prevents it otherwise. */
+  private boolean isHandedOver() {
+    if (forwarding.hasBegun()) {
+      return !forwarding.preventHandover();
+    }
+    return currentAttempt != null && !currentAttempt.preventHandover();
+  }
+
+  /** Ends the request, if it has not ended, since this process ends. */
+  void onStopLimit() {
+    decide(() -> machine.onStopLimit(isHandedOver()));
   }
 
   private void onCallerGone() {
     decide(machine::onCallerGone);
   }
 
-  private void decide(Supplier<List<ExchangeEffect>> event) {
+  @Override
+  public void decideOn(PeerAnswer answer, Supplier<List<ExchangeEffect>> event) {
+    decideOn(new TargetAnswerBody(answer.status(), answer.headers(), answer.body()), event);
+  }
+
+  /** Decides on a response and releases its body, unless that response is being relayed. */
+  private void decideOn(TargetAnswerBody complete, Supplier<List<ExchangeEffect>> event) {
+    response = complete;
+    decide(event);
+    if (relayed != complete) {
+      complete.body().release();
+    }
+  }
+
+  @Override
+  public void decide(Supplier<List<ExchangeEffect>> event) {
     List<ExchangeEffect> effects;
     synchronized (this) {
       effects = event.get();
@@ -209,11 +255,13 @@
   private void execute(ExchangeEffect effect) {
     if (effect instanceof ExchangeEffect.AcquireSlot acquire) {
       slotWaitTimer = services.timers().schedule(this::onSlotWaitTimeout, acquire.patienceMs());
-      services.dispatcher().submit(slotRequest);
+      services.submission().accept(slotRequest);
     } else if (effect instanceof ExchangeEffect.CancelSlotRequest) {
       services.dispatcher().withdraw(slotRequest);
     } else if (effect instanceof ExchangeEffect.Send) {
       send();
+    } else if (effect instanceof ExchangeEffect.ForwardToPeer) {
+      forwarding.forward();
     } else if (effect instanceof ExchangeEffect.ReturnSlot) {
       services.dispatcher().release(slot, slotRequest, AttemptOutcome.GIVEN_UP, 0);
     } else if (effect instanceof ExchangeEffect.AvoidTarget) {
@@ -257,6 +305,7 @@
   }
 
   private void abandon(boolean late) {
+    forwarding.abandon(late ? "timeout" : "caller_gone");
     TargetAttempt attempt = currentAttempt;
     if (attempt == null) {
       return;
@@ -264,7 +313,7 @@
     if (late) {
       attempt.onTimedOut();
     }
-    attempt.abandon(late ? "timeout" : "the caller disconnected");
+    attempt.abandon(late ? "timeout" : "the request has ended");
   }
 
   private void end(ExchangeEffect last) {
@@ -284,39 +333,37 @@
     } else {
       count(RequestOutcome.CALLER_GONE);
       log("caller_gone", currentAttempt, "closed");
-      try {
-        call.callback().failed(new CallerGoneException());
-      } finally {
-        onEnded.run();
-      }
+      Callback.from(onEnded, call.callback()).failed(new CallerGoneException());
     }
   }
 
   private void relay(boolean failed) {
     TargetAnswerBody complete = response;
-    relaying = true;
+    relayed = complete;
     count(failed ? RequestOutcome.FAILED_AT_TARGET : RequestOutcome.ANSWERED);
     String event = failed ? "request_failed_at_target" : "request_served";
     log(event, currentAttempt, "status_" + complete.status());
+    forwarding.addCounts();
     CallerResponseWriter.relay(
         call.response(),
         complete.status(),
         CallerHeaders.passedOn(complete.headers()),
         complete.body(),
-        services.stopping().getAsBoolean(),
-        Callback.from(Callback.from(call.callback(), complete.body()::release), onEnded));
+        services.stop().isStopping(),
+        Callback.from(complete.body()::release, Callback.from(onEnded, call.callback())));
   }
 
   private void respond(int status, long retryAfterMs, String reason) {
     count(outcomeOf(status));
     services.metrics().onGivenUp(reason);
     log("request_given_up", currentAttempt, "status=" + status + " reason=" + reason);
+    forwarding.addCounts();
     CallerResponseWriter.writeEmpty(
         call.response(),
         status,
         retryAfterMs,
-        services.stopping().getAsBoolean(),
-        Callback.from(call.callback(), onEnded));
+        services.stop().isStopping(),
+        Callback.from(onEnded, call.callback()));
   }
 
   /** Counts the load of refused requests; without it the owner of a hot key would look idle. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -10,8 +10,7 @@
 import io.cuminvalve.router.caller.CallerHeaders;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EndPoint;
@@ -28,6 +27,7 @@
 final class GatewayHandler extends Handler.Abstract.NonBlocking {
 
   private static final long RETRY_AFTER_MS = 250;
+  private static final String STOPPING = "stopping";
   private static final int KEY_LIMIT = 65_536;
 
   /** Upper bound for the time since the arrival of a request; no caller waits this long. */
@@ -36,7 +36,7 @@
   private final ExchangeServices services;
   private final RandomGenerator random;
   private final StartupRequestBuffer startupBuffer;
-  private final Set<EndPoint> busyEndPoints = ConcurrentHashMap.newKeySet();
+  private final RequestsInProgress requests = new RequestsInProgress();
 
   GatewayHandler(ExchangeServices services, RandomGenerator random) {
     this.services = services;
@@ -53,87 +53,121 @@
 
   /** Returns the number of requests that have been read and not answered. */
   int inFlight() {
-    return busyEndPoints.size();
+    return requests.size();
   }
 
-  /** Returns whether a request of a connection has been read and not answered. */
-  boolean isBusy(EndPoint endPoint) {
-    return busyEndPoints.contains(endPoint);
+  /** Returns how many requests without a response are in each phase, for the log. */
+  String inFlightByPhase() {
+    return requests.summary();
   }
 
-  private static EndPoint endPointOf(Request request) {
-    return request.getConnectionMetaData().getConnection().getEndPoint();
+  /** Admits no more requests if there is none. Returns whether none is admitted from now on. */
+  boolean closeIfIdle() {
+    return requests.closeIfEmpty();
+  }
+
+  /** Admits no more requests, and ends those in progress with responses of this gateway. */
+  void endRequests() {
+    requests.close();
+    requests.endAll();
+  }
+
+  /** Admits no more requests of a connection without one. Returns whether it may be closed now. */
+  boolean claimIdle(EndPoint connection) {
+    return requests.claimIdle(connection);
   }
 
   @Override
   public boolean handle(Request request, Response response, Callback callback) {
-    UpperTime arrived = earliestArrival(request);
+    RequestInProgress inProgress =
+        new RequestInProgress(requests, request, response, callback, earliestArrival(request));
+    inProgress.enter(RequestPhase.ROUTING, () -> refuseAtStopLimit(inProgress));
+    boolean admitted = requests.add(inProgress);
     Optional<RoutingConfiguration> configuration = services.state().current().configuration();
-    if (configuration.isPresent()) {
-      route(request, response, callback, configuration.get(), arrived);
-      return true;
+    if (!admitted) {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, STOPPING);
+    } else if (configuration.isPresent()) {
+      route(inProgress, configuration.get());
+    } else {
+      hold(inProgress);
     }
+    return true;
+  }
+
+  private void hold(RequestInProgress inProgress) {
     Runnable refusal =
-        () ->
-            refuse(
-                request, response, CallerResponseWriter.UNAVAILABLE, "no_configuration", callback);
-    boolean held = startupBuffer.hold(() -> resume(request, response, callback, arrived), refusal);
-    if (!held) {
+        () -> refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "no_configuration");
+    inProgress.enter(RequestPhase.HELD, () -> refuseAtStopLimit(inProgress));
+    if (!startupBuffer.hold(() -> resume(inProgress), refusal)) {
       refusal.run();
     }
-    return true;
   }
 
   /** Returns the earliest time at which the request may have reached this host. */
   private UpperTime earliestArrival(Request request) {
     UpperTime now = services.clock().upper();
-    if (endPointOf(request) instanceof CallerEndPoint caller) {
+    if (RequestInProgress.endPointOf(request) instanceof CallerEndPoint caller) {
       UpperTime arrived = caller.arrivedAfter(request.getBeginNanoTime());
       return arrived.latest(now.minusMs(MAX_CALLER_WAIT_MS));
     }
     return now;
   }
 
-  private void resume(Request request, Response response, Callback callback, UpperTime arrived) {
-    RoutingConfiguration configuration = services.state().current().configuration().orElseThrow();
-    route(request, response, callback, configuration, arrived);
+  private void resume(RequestInProgress inProgress) {
+    route(inProgress, services.state().current().configuration().orElseThrow());
   }
 
-  private void route(
-      Request request,
-      Response response,
-      Callback callback,
-      RoutingConfiguration configuration,
-      UpperTime arrived) {
+  private void route(RequestInProgress inProgress, RoutingConfiguration configuration) {
+    Request request = inProgress.request();
     Optional<Route> route =
         configuration.find(CallerRequest.hostOf(request), request.getHttpURI().getPath());
     if (route.isEmpty()) {
-      refuseUnknown(request, response, callback);
+      refuseUnknown(inProgress);
       return;
     }
-    if (services.clock().upper().sinceMs(arrived) >= timeLimitMs(request, route.get())) {
-      refuse(request, response, CallerResponseWriter.UNAVAILABLE, "read_too_late", callback);
+    UpperTime deadline = inProgress.arrived().plusMs(timeLimitMs(request, route.get()));
+    if (services.clock().upper().sinceMs(deadline) >= 0) {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "read_too_late");
       return;
     }
     if (request.getLength() > configuration.bounds().maxBodyBytes()) {
-      refuse(request, response, CallerResponseWriter.TOO_LARGE, "body_too_large", callback);
+      refuse(inProgress, CallerResponseWriter.TOO_LARGE, "body_too_large");
+      return;
+    }
+    if (!services.stop().admits(deadline)) {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, STOPPING);
       return;
     }
-    busyEndPoints.add(endPointOf(request));
+    logIfStopping(inProgress, deadline);
     if (hasBody(request)) {
-      readBody(request, response, callback, configuration, route.get(), arrived);
+      readBody(inProgress, configuration, route.get());
     } else {
-      begin(request, response, callback, configuration, route.get(), arrived, BufferedBody.EMPTY);
+      begin(inProgress, configuration, route.get(), BufferedBody.EMPTY);
     }
   }
 
+  private void logIfStopping(RequestInProgress inProgress, UpperTime deadline) {
+    if (!services.stop().isStopping()) {
+      return;
+    }
+    long connectionAgeMs = System.currentTimeMillis() - inProgress.endPoint().getCreatedTimeStamp();
+    services
+        .log()
+        .write(
+            "request_taken_while_stopping",
+            "id={} since_stop_ms={} time_left_ms={} connection_age_ms={}",
+            inProgress.request().getHeaders().get(services.headers().attemptId()),
+            services.stop().sinceMs(),
+            deadline.sinceMs(services.clock().upper()),
+            connectionAgeMs);
+  }
+
   /** Responds with 404 only if the configuration is current: a newer one may have the route. */
-  private void refuseUnknown(Request request, Response response, Callback callback) {
+  private void refuseUnknown(RequestInProgress inProgress) {
     if (services.state().isConfigurationCurrent(services.clock().upper())) {
-      refuse(request, response, CallerResponseWriter.NOT_FOUND, "no_route", callback);
+      refuse(inProgress, CallerResponseWriter.NOT_FOUND, "no_route");
     } else {
-      refuse(
-          request, response, CallerResponseWriter.UNAVAILABLE, "configuration_outdated", callback);
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "configuration_outdated");
     }
   }
 
@@ -142,65 +176,65 @@
   }
 
   private void readBody(
-      Request request,
-      Response response,
-      Callback callback,
-      RoutingConfiguration configuration,
-      Route route,
-      UpperTime arrived) {
+      RequestInProgress inProgress, RoutingConfiguration configuration, Route route) {
     long limit = Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
-    services
-        .buffers()
-        .readRequest(request, request.getLength(), limit)
-        .whenComplete(
-            (body, failure) -> {
-              if (failure == null) {
-                begin(request, response, callback, configuration, route, arrived, body);
-              } else {
-                busyEndPoints.remove(endPointOf(request));
-                onUnreadBody(request, response, callback, failure);
-              }
-            });
+    if (!inProgress.enter(RequestPhase.READING, () -> refuseAtStopLimit(inProgress))) {
+      return;
+    }
+    Request request = inProgress.request();
+    CompletableFuture<BufferedBody> reading =
+        services.buffers().readRequest(request, request.getLength(), limit);
+    inProgress.keep(reading);
+    reading.whenComplete(
+        (body, failure) -> {
+          if (failure == null) {
+            begin(inProgress, configuration, route, body);
+          } else {
+            onUnreadBody(inProgress, failure);
+          }
+        });
   }
 
-  private void onUnreadBody(
-      Request request, Response response, Callback callback, Throwable failure) {
+  private void onUnreadBody(RequestInProgress inProgress, Throwable failure) {
     if (!(failure instanceof BodyRefusedException refused)) {
-      callback.failed(failure);
+      if (inProgress.enterAnswering()) {
+        inProgress.callback().failed(failure);
+      }
     } else if (refused.isTooLarge()) {
-      refuse(request, response, CallerResponseWriter.TOO_LARGE, "body_too_large", callback);
+      refuse(inProgress, CallerResponseWriter.TOO_LARGE, "body_too_large");
     } else {
-      refuse(request, response, CallerResponseWriter.UNAVAILABLE, "body_no_room", callback);
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "body_no_room");
     }
   }
 
   private void begin(
-      Request request,
-      Response response,
-      Callback callback,
+      RequestInProgress inProgress,
       RoutingConfiguration configuration,
       Route route,
-      UpperTime arrived,
       BufferedBody body) {
-    ServiceId service = route.choose(random.nextDouble());
+    Request request = inProgress.request();
+    Optional<RelayedRequest> relayed = RelayedRequest.of(request);
+    ServiceId service =
+        relayed
+            .flatMap(known -> known.serviceOf(route))
+            .orElseGet(() -> route.choose(random.nextDouble()));
     String attemptId = request.getHeaders().get(services.headers().attemptId());
     OptionalInt key = OptionalInt.empty();
     if (configuration.isKeyed(service)) {
       key = keyOf(request);
       if (key.isEmpty()) {
-        busyEndPoints.remove(endPointOf(request));
-        body.release();
-        refuse(request, response, CallerResponseWriter.BAD_REQUEST, "no_key", callback);
+        refuse(inProgress, CallerResponseWriter.BAD_REQUEST, "no_key");
         return;
       }
     }
+    UpperTime arrived = inProgress.arrived();
     long timeLimitMs = timeLimitMs(request, route);
     long arrivedMs = services.clock().nowMs() - services.clock().upper().sinceMs(arrived);
     CallerRequest call =
         new CallerRequest(
             request,
-            response,
-            callback,
+            inProgress.response(),
+            inProgress.callback(),
             attemptId == null ? "" : attemptId,
             route,
             service,
@@ -208,17 +242,14 @@
             identityOf(request, key, body),
             CallerHeaders.passedOn(request.getHeaders()),
             body,
-            arrivedMs,
+            arrivedMs - relayed.map(RelayedRequest::ageMs).orElse(0L),
             arrivedMs + timeLimitMs,
             arrived.plusMs(timeLimitMs),
             configuration.version());
-    EndPoint endPoint = endPointOf(request);
-    Runnable onEnded =
-        () -> {
-          busyEndPoints.remove(endPoint);
-          body.release();
-        };
-    new GatewayExchange(services, call, onEnded).start();
+    GatewayExchange exchange = new GatewayExchange(services, call, inProgress::end);
+    if (inProgress.enter(RequestPhase.FORWARDING, exchange::onStopLimit)) {
+      exchange.start();
+    }
   }
 
   private static RequestIdentity identityOf(Request request, OptionalInt key, BufferedBody body) {
@@ -229,7 +260,11 @@
             request.getHttpURI().getPathQuery(),
             key,
             body.parts());
-    return new RequestIdentity(content, content.by(Request.getRemoteAddr(request)));
+    String caller =
+        RelayedRequest.of(request)
+            .map(RelayedRequest::caller)
+            .orElseGet(() -> Request.getRemoteAddr(request));
+    return new RequestIdentity(content, content.by(caller));
   }
 
   private OptionalInt keyOf(Request request) {
@@ -262,8 +297,18 @@
     }
   }
 
-  private void refuse(
-      Request request, Response response, int status, String reason, Callback callback) {
+  private void refuse(RequestInProgress inProgress, int status, String reason) {
+    if (inProgress.enterAnswering()) {
+      writeRefusal(inProgress, status, reason);
+    }
+  }
+
+  private void refuseAtStopLimit(RequestInProgress inProgress) {
+    writeRefusal(inProgress, CallerResponseWriter.UNAVAILABLE, "stop_limit");
+  }
+
+  private void writeRefusal(RequestInProgress inProgress, int status, String reason) {
+    Request request = inProgress.request();
     services
         .log()
         .write(
@@ -275,7 +320,8 @@
             status,
             reason);
     long retryAfterMs = status == CallerResponseWriter.UNAVAILABLE ? RETRY_AFTER_MS : 0;
-    boolean closeConnection = services.stopping().getAsBoolean();
-    CallerResponseWriter.writeEmpty(response, status, retryAfterMs, closeConnection, callback);
+    boolean closeConnection = services.stop().isStopping();
+    CallerResponseWriter.writeEmpty(
+        inProgress.response(), status, retryAfterMs, closeConnection, inProgress.callback());
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -12,17 +12,22 @@
 import io.cuminvalve.kernel.CodedException;
 import io.cuminvalve.kernel.ErrorCode;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.ports.http.DaemonThreadPool;
 import io.cuminvalve.router.caller.WatchingConnector;
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetClientLimits;
 import io.cuminvalve.router.wiring.RequestTimers;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
+import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.IdleTimeout;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -52,13 +57,30 @@
 
   private static final int TARGET_THREADS = 8;
 
+  /** A running gateway accepts within a few milliseconds; another peer is at hand. */
+  private static final long PEER_CONNECT_TIMEOUT_MS = 200;
+
+  /** Shorter than the time after which peers close idle connections. */
+  private static final long PEER_IDLE_MS = 5_000;
+
+  private static final int PEER_THREADS = 4;
+
+  /** Relayed heads are larger than those of callers and targets by the fields of the relay. */
+  private static final int MAX_RELAYED_HEADER_BYTES = MAX_HEADER_BYTES + 2 * 1024;
+
+  /** Targets that are probed at a time to learn whether they can be reached. */
+  private static final int REACH_PROBES = 2;
+
   private final Server server;
   private final ServerConnector callers;
+  private final ServerConnector relays;
   private final ServerConnector readiness;
   private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
+  private final TargetClient peerClient;
   private final RequestTimers timers = new RequestTimers();
-  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS);
+  private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, 1);
+  private final ConnectProbe reachProbe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, REACH_PROBES);
   private final BodyBuffers buffers;
   private final TrafficReports reports;
   private final GatewayHandler handler;
@@ -74,8 +96,9 @@
    * @param decoder decodes the signals in responses of targets; not null
    * @param unknownFields counts unknown header fields of responses; not null
    * @param page the metrics page; not null
+   * @param sharedKey authenticates the peers that relay requests; not null
    * @param ready returns whether callers may be directed to this gateway; not null
-   * @param stopping returns whether this process is shutting down; not null
+   * @param stop whether this process is stopping; not null
    */
   public GatewayServer(
       GatewaySettings settings,
@@ -86,8 +109,9 @@
       AnswerDecoder decoder,
       UnknownFields unknownFields,
       MetricsPage page,
+      SharedKey sharedKey,
       BooleanSupplier ready,
-      BooleanSupplier stopping) {
+      StopProgress stop) {
     this(
         settings,
         state,
@@ -97,11 +121,14 @@
         decoder,
         unknownFields,
         page,
+        sharedKey,
         ready,
-        stopping,
+        stop,
+        Dispatcher::submit,
         BufferBudget.ofHeap(Runtime.getRuntime().maxMemory()));
   }
 
+  /** Creates a server with a budget for bodies, and a way to submit requests for slots. */
   GatewayServer(
       GatewaySettings settings,
       RoutingState state,
@@ -111,36 +138,46 @@
       AnswerDecoder decoder,
       UnknownFields unknownFields,
       MetricsPage page,
+      SharedKey sharedKey,
       BooleanSupplier ready,
-      BooleanSupplier stopping,
+      StopProgress stop,
+      BiConsumer<Dispatcher, SlotRequest> submission,
       BufferBudget budget) {
+    this.buffers = new BodyBuffers(budget);
     SplittableRandom random = new SplittableRandom();
     this.client =
         new TargetClient(
             new TargetClientLimits(
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
-    this.buffers = new BodyBuffers(budget);
-    KeyLoadMeter keyLoad = new KeyLoadMeter();
+    this.peerClient =
+        new TargetClient(
+            new TargetClientLimits(
+                PEER_CONNECT_TIMEOUT_MS,
+                PEER_IDLE_MS,
+                MAX_RELAYED_HEADER_BYTES,
+                PEER_THREADS,
+                false),
+            address -> Integer.MAX_VALUE);
+    DataCentreId dataCentre = new DataCentreId(settings.dataCentre());
+    final RelayToken token = new RelayToken(sharedKey);
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
     TargetDepartures departures = new TargetDepartures(state);
+    ReachMonitor reach = new ReachMonitor(state, reachProbe, timers, clock, log);
     Dispatcher dispatcher =
-        new Dispatcher(
-            state,
-            new DataCentreId(settings.dataCentre()),
-            clock,
-            random.split(),
-            quotas,
-            backoffs);
+        new Dispatcher(state, dataCentre, clock, random.split(), quotas, backoffs, reach::isUsable);
+    reach.onChange(dispatcher::dispatchWaiting);
     backoffs.onStart(dispatcher::onBackoff);
+    KeyLoadMeter keyLoad = new KeyLoadMeter();
     RequestQuarantine quarantine = new RequestQuarantine(clock);
-    CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock);
+    CrashDetector crashDetector = new CrashDetector(state, probe, timers, clock, reach::isDoubtful);
     ExchangeServices services =
         new ExchangeServices(
             state,
             dispatcher,
+            request -> submission.accept(dispatcher, request),
             new SendGate(clock),
             departures,
             quotas,
@@ -148,31 +185,51 @@
             backoffs,
             buffers,
             client,
+            new PeerRelay(state, peerClient, token, dataCentre, clock, random.split()),
             new RetryBudgets(settings, clock),
             quarantine,
             crashDetector,
+            reach,
             keyLoad,
             timers,
             clock,
             settings.headers(),
             log,
             metrics,
-            stopping);
+            stop);
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
+            keyLoad,
+            dispatcher,
+            quotas,
+            backoffs,
+            departures,
+            quarantine,
+            crashDetector,
+            reach,
+            () -> relayAddress(settings.peerHost(), ready));
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
-    this.callers = connector(settings.callerAddress(), clock);
+    this.callers = connector(settings.callerAddress(), clock, MAX_HEADER_BYTES);
+    this.relays =
+        connector(
+            new InetSocketAddress(settings.peerHost(), settings.relayPort()),
+            clock,
+            MAX_RELAYED_HEADER_BYTES);
     this.readiness = plainConnector(settings.readinessAddress());
     this.scrapes = settings.metricsAddress().map(this::plainConnector);
-    Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, handler);
+    RelayHandler admission = new RelayHandler(relays, token, ready, log, metrics, handler);
+    Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, admission);
     server.setHandler(new MetricsHandler(scrapes, page, traffic));
     page.addGauge("cuminvalve_requests_in_flight", "Requests without an answer.", this::inFlight);
     page.addGauge(
         "cuminvalve_buffered_bytes",
         "Memory for buffered bodies of requests and responses.",
         buffers::usedBytes);
+    page.addGauge(
+        "cuminvalve_relayed_requests_in_flight",
+        "Requests without an answer that other gateways relay.",
+        admission::inProgress);
     page.addGauge(
         "cuminvalve_requests_waiting",
         "Requests that wait for a slot of a target.",
@@ -189,6 +246,10 @@
         "cuminvalve_leaving_targets",
         "Targets that have said in an answer that they leave.",
         () -> state.current().leaving().size());
+    page.addGauge(
+        "cuminvalve_unreachable_targets",
+        "Targets that this gateway cannot reach.",
+        reach::unreachableCount);
     page.addGauge(
         "cuminvalve_resting_targets",
         "Targets that have asked this gateway for rest.",
@@ -204,12 +265,19 @@
     return connector;
   }
 
-  private ServerConnector connector(InetSocketAddress address, MillisClock clock) {
+  /** Returns where peers can relay requests to; empty while they are not to. */
+  private String relayAddress(String host, BooleanSupplier ready) {
+    int port = relays.getLocalPort();
+    return port > 0 && ready.getAsBoolean() ? host + ":" + port : "";
+  }
+
+  private ServerConnector connector(
+      InetSocketAddress address, MillisClock clock, int maxHeaderBytes) {
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
-    http.setRequestHeaderSize(MAX_HEADER_BYTES);
-    http.setResponseHeaderSize(MAX_HEADER_BYTES);
+    http.setRequestHeaderSize(maxHeaderBytes);
+    http.setResponseHeaderSize(maxHeaderBytes);
     http.setUriCompliance(UriCompliance.UNSAFE);
     ServerConnector connector =
         new WatchingConnector(server, clock, new HttpConnectionFactory(http));
@@ -224,6 +292,7 @@
   /** Opens the ports. */
   public void start() {
     client.start();
+    peerClient.start();
     try {
       server.start();
     } catch (Exception e) {
@@ -239,25 +308,62 @@
       throw new CodedException(ErrorCode.INTERNAL, "cannot stop the server", e);
     }
     client.stop();
+    peerClient.stop();
     probe.close();
+    reachProbe.close();
     timers.stop();
   }
 
   /**
-   * Accepts no new connections and closes those without a request in progress.
+   * Closes all connections without a request in progress. New connections are accepted until the
+   * server stops, since callers may still be directed here.
    *
    * <p>A caller that sends a request at that moment finds its connection closed and can tell that
    * the request was not read.
    */
   public void closeIdleConnections() {
-    callers.close();
-    for (EndPoint endPoint : callers.getConnectedEndPoints()) {
-      if (!handler.isBusy(endPoint)) {
+    closeConnectionsIdleFor(0);
+  }
+
+  /**
+   * Like {@link #closeIdleConnections}, but spares connections that were used recently, on which a
+   * request may be on its way.
+   *
+   * @param idleMs the time without a byte after which a connection is closed; milliseconds
+   */
+  public void closeConnectionsIdleFor(long idleMs) {
+    for (EndPoint endPoint : connections()) {
+      boolean settled =
+          !(endPoint instanceof IdleTimeout connection) || connection.getIdleFor() >= idleMs;
+      if (settled && handler.claimIdle(endPoint)) {
         endPoint.close();
       }
     }
   }
 
+  private List<EndPoint> connections() {
+    List<EndPoint> all = new ArrayList<>(callers.getConnectedEndPoints());
+    all.addAll(relays.getConnectedEndPoints());
+    return all;
+  }
+
+  /**
+   * Refuses all further requests if none is in progress.
+   *
+   * @return whether all further requests are refused
+   */
+  public boolean closeIfIdle() {
+    return handler.closeIfIdle();
+  }
+
+  /**
+   * Refuses all further requests and ends those in progress: with 503 if they were not sent to a
+   * target, else with 504. The responses may be written later than this returns.
+   */
+  public void endRequests() {
+    handler.endRequests();
+  }
+
   /**
    * Returns the number of requests without a response.
    *
@@ -272,6 +378,15 @@
     return buffers.usedBytes();
   }
 
+  /**
+   * Returns how many requests without a response are in each phase.
+   *
+   * @return pairs {@code phase=count} for the log; never null
+   */
+  public String inFlightByPhase() {
+    return handler.inFlightByPhase();
+  }
+
   /**
    * Returns the reports on the traffic.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -15,8 +15,6 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.client.ByteBufferRequestContent;
-import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 
@@ -111,26 +109,16 @@
         call.request().getMethod(),
         call.request().getHttpURI().getPathQuery(),
         headers,
-        content(),
+        call.content(),
         earlierAttempts);
   }
 
-  private Request.Content content() {
-    boolean declared =
-        call.request().getHeaders().contains(HttpHeader.CONTENT_LENGTH)
-            || call.request().getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
-    if (!declared) {
-      return null;
-    }
-    return new ByteBufferRequestContent(
-        call.request().getHeaders().get(HttpHeader.CONTENT_TYPE), call.body().views());
-  }
-
   FleetTarget target() {
     return slot.target();
   }
 
   void start() {
+    services.reach().onSent(slot.target().id());
     exchange.start();
   }
 
@@ -165,6 +153,7 @@
 
   @Override
   public void onAnswer(TargetAnswer response) {
+    services.reach().onAnswer(slot.target().id());
     TargetSignals signals = services.signals().read(response);
     if (!isForThisAttempt(signals) || response.headers().contains(HttpHeader.CONTENT_ENCODING)) {
       exchange.abandon("the response belongs to another request");
@@ -238,9 +227,13 @@
   @Override
   public void onFailure(boolean handedOver, Throwable cause) {
     if (handedOver) {
+      services.reach().onDoubt(slot.target().id());
       onBroken();
-    } else if (cause instanceof ConnectException) {
-      services.crashDetector().onEnded(slot.target().id());
+    } else {
+      services.reach().onNotSent(slot.target().id(), cause);
+      if (cause instanceof ConnectException) {
+        services.crashDetector().onRefused(slot.target().id());
+      }
     }
     fail(handedOver, cause.getClass().getSimpleName());
   }
@@ -280,6 +273,7 @@
   @Override
   public void onReleased() {
     if (released.compareAndSet(false, true)) {
+      services.reach().onEnded(slot.target().id());
       long tookMs = services.clock().nowMs() - sentMs;
       if (call.key().isPresent() && outcome != AttemptOutcome.GIVEN_UP) {
         long workMs = occupancy.map(stated -> stated.serviceTimeMs(tookMs)).orElse(tookMs);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -21,6 +21,7 @@
 import io.cuminvalve.gateway.observe.RequestMetrics;
 import io.cuminvalve.gateway.observe.StoreCallMetrics;
 import io.cuminvalve.gateway.observe.UnknownFields;
+import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.testkit.time.VirtualClock;
 import java.io.IOException;
@@ -89,8 +90,10 @@
             this::decode,
             unknown,
             new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
+            new SharedKey("a-key-of-at-least-sixteen-bytes"),
             () -> true,
-            () -> false,
+            new StopProgress(clock, settings().stopPolicy()),
+            Dispatcher::submit,
             new BufferBudget(BUDGET_BYTES));
     server.start();
   }
@@ -106,6 +109,7 @@
         "/v1/readyz",
         "127.0.0.1",
         0,
+        0,
         new RequestHeaders("X-Attempt-Id", "X-Deadline-Ms", "X-Target-Instance", "X-Shard-Key"),
         true,
         1,
@@ -297,6 +301,11 @@
     return server.bufferedBytes();
   }
 
+  /** Ends all requests in progress, as at the end of a stop. */
+  void endRequests() {
+    server.endRequests();
+  }
+
   int inFlight() {
     return server.inFlight();
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -12,6 +12,8 @@
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.route.WeightedService;
 import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.send.SendObstacle;
+import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.observe.RequestMetrics;
@@ -20,6 +22,7 @@
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetClientLimits;
 import java.lang.reflect.Proxy;
+import java.net.ConnectException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +37,8 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.ConnectionMetaData;
 import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
 
 /** The request path of a gateway up to the first byte of a request, without sockets. */
 public final class TrafficFixture {
@@ -69,8 +74,15 @@
 
   /** Creates the traffic of a gateway; its timers never run. */
   public TrafficFixture(RoutingState state, MillisClock clock) {
+    this(state, clock, true);
+  }
+
+  /** Creates the traffic of a gateway that may not know a configuration yet. */
+  TrafficFixture(RoutingState state, MillisClock clock, boolean configured) {
     this.clock = clock;
-    state.update(snapshot -> snapshot.withConfiguration(CONFIGURATION));
+    if (configured) {
+      state.update(snapshot -> snapshot.withConfiguration(CONFIGURATION));
+    }
     state.watch(clock::upper, () -> 1_900, () -> false);
     DecisionLog log = new DecisionLog(clock, 1, line -> {});
     Timers timers = (task, delayMs) -> () -> {};
@@ -79,12 +91,16 @@
     TargetDepartures departures = new TargetDepartures(state);
     KeyLoadMeter keyLoad = new KeyLoadMeter();
     this.quarantine = new RequestQuarantine(clock);
-    CrashDetector crashDetector = new CrashDetector(state, null, timers, clock);
-    this.dispatcher = new Dispatcher(state, HERE, clock, new SplittableRandom(3), quotas, backoffs);
+    ReachMonitor reach = new ReachMonitor(state, (address, onDone) -> {}, timers, clock, log);
+    CrashDetector crashDetector = new CrashDetector(state, null, timers, clock, reach::isDoubtful);
+    this.dispatcher =
+        new Dispatcher(
+            state, HERE, clock, new SplittableRandom(3), quotas, backoffs, reach::isUsable);
     this.services =
         new ExchangeServices(
             state,
             dispatcher,
+            dispatcher::submit,
             new SendGate(clock),
             departures,
             quotas,
@@ -93,18 +109,68 @@
             new BodyBuffers(new BufferBudget(0)),
             new TargetClient(TargetClientLimits.DEFAULT, address -> 1),
             null,
+            null,
             quarantine,
             crashDetector,
+            reach,
             keyLoad,
             timers,
             clock,
             new RequestHeaders("attempt", "deadline", "target", "key"),
             log,
             new RequestMetrics(),
-            () -> false);
+            new StopProgress(clock, new StopPolicy(1_000, 10_000)));
     this.reports =
         new TrafficReports(
-            keyLoad, dispatcher, quotas, backoffs, departures, quarantine, crashDetector);
+            keyLoad,
+            dispatcher,
+            quotas,
+            backoffs,
+            departures,
+            quarantine,
+            crashDetector,
+            reach,
+            () -> "");
+  }
+
+  /** Creates the handler of callers' requests. */
+  GatewayHandler handler() {
+    return new GatewayHandler(services, new SplittableRandom(4));
+  }
+
+  /** Hands a request to a handler; all come on the same connection. */
+  void handle(GatewayHandler handler, Callback completion) {
+    handle(handler, request(), completion);
+  }
+
+  /** Hands a request to a handler. */
+  void handle(GatewayHandler handler, Request request, Callback completion) {
+    handler.handle(request, response(request), completion);
+  }
+
+  /** Ends a request that was not sent to a target. */
+  void endUnsent(Callback completion, Runnable onEnded) {
+    GatewayExchange exchange = new GatewayExchange(services, call(completion), onEnded);
+    exchange.onRefused(TargetRefusal.forEvacuation(new TargetId("a"), 1_000));
+  }
+
+  private CallerRequest call(Callback completion) {
+    Request request = request();
+    return new CallerRequest(
+        request,
+        response(request),
+        completion,
+        "one",
+        ROUTE,
+        SERVICE,
+        OptionalInt.empty(),
+        IDENTITY,
+        HttpFields.EMPTY,
+        BufferedBody.EMPTY,
+        clock.nowMs(),
+        DEADLINE_MS,
+        clock.upper().plusMs(DEADLINE_MS),
+        CONFIGURATION.version());
   }
 
   /** Returns the reports for the link to the fleet. */
@@ -140,6 +206,14 @@
     }
   }
 
+  /** Submits a request without a key and returns why it is refused; empty if it is not. */
+  Optional<TargetRefusal> refusal() {
+    Placed placed = new Placed();
+    dispatcher.submit(placed.slotRequest);
+    dispatcher.withdraw(placed.slotRequest);
+    return Optional.ofNullable(placed.refusal);
+  }
+
   /** Submits a request without a key; empty if it gets no slot at once. */
   public Optional<Placed> place() {
     Placed placed = new Placed();
@@ -162,6 +236,7 @@
 
     private final SlotRequest slotRequest;
     private Slot slot;
+    private TargetRefusal refusal;
 
     Placed() {
       slotRequest = new SlotRequest(ROUTE, SERVICE, OptionalInt.empty(), 0, this);
@@ -173,7 +248,9 @@
     }
 
     @Override
-    public void onRefused(TargetRefusal refusal) {}
+    public void onRefused(TargetRefusal given) {
+      refusal = given;
+    }
 
     /** Returns the target of its slot. */
     public FleetTarget target() {
@@ -190,30 +267,39 @@
       return beginsAfter(0);
     }
 
+    /** Is refused a connection, by the host of the target or by something on the way there. */
+    void failsToConnect() {
+      TargetAttempt attempt =
+          new TargetAttempt(services, call(null), slotRequest, slot, 0, 0, new IgnoringListener());
+      attempt.onFailure(false, new ConnectException("refused"));
+      attempt.onReleased();
+    }
+
     /** Like {@link #begins}, for a request that may have run on some targets before. */
     boolean beginsAfter(int runs) {
-      CallerRequest call =
-          new CallerRequest(
-              request(),
-              null,
-              null,
-              "one",
-              slotRequest.route(),
-              SERVICE,
-              OptionalInt.empty(),
-              IDENTITY,
-              HttpFields.EMPTY,
-              BufferedBody.EMPTY,
-              clock.nowMs(),
-              DEADLINE_MS,
-              clock.upper().plusMs(DEADLINE_MS),
-              CONFIGURATION.version());
-      return new TargetAttempt(services, call, slotRequest, slot, runs, 0, null)
+      return new TargetAttempt(services, call(null), slotRequest, slot, runs, 0, null)
           .onConnection(HttpFields.build());
     }
   }
 
-  private static Request request() {
+  /** Ignores the result of an attempt. */
+  private static final class IgnoringListener implements TargetAttempt.Listener {
+
+    @Override
+    public void onResponse(
+        TargetAttempt attempt, int status, HttpFields headers, BufferedBody body) {}
+
+    @Override
+    public void onNotExecuted(TargetAttempt attempt, int status) {}
+
+    @Override
+    public void onStopped(TargetAttempt attempt, SendObstacle obstacle) {}
+
+    @Override
+    public void onFailure(TargetAttempt attempt, boolean mayHaveRun, String reason) {}
+  }
+
+  static Request request() {
     EndPoint endPoint = stub(EndPoint.class, Map.of("isOpen", true));
     Connection connection = stub(Connection.class, Map.of("getEndPoint", endPoint));
     ConnectionMetaData metaData =
@@ -231,6 +317,24 @@
             metaData));
   }
 
+  private static Response response(Request request) {
+    HttpFields.Mutable headers = HttpFields.build();
+    return (Response)
+        Proxy.newProxyInstance(
+            TrafficFixture.class.getClassLoader(),
+            new Class<?>[] {Response.class},
+            (proxy, method, arguments) -> {
+              if (method.getName().equals("write")) {
+                ((Callback) arguments[2]).succeeded();
+              }
+              return switch (method.getName()) {
+                case "getHeaders" -> headers;
+                case "getRequest" -> request;
+                default -> null;
+              };
+            });
+  }
+
   private static <T> T stub(Class<T> type, Map<String, Object> returnValues) {
     return type.cast(
         Proxy.newProxyInstance(
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/UploadRoomTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/UploadRoomTest.java
@@ -47,4 +47,20 @@
       assertThat(target.arrivalsOf("refused")).isEqualTo(0);
     }
   }
+
+  /** Guards against parts of uploads that keep their memory when nobody reads them on. */
+  @Test
+  void uploadsEndedAtTheStopLimitReturnTheirMemory() throws Exception {
+    try (RawTarget target = new RawTarget();
+        StallableGateway gateway = new StallableGateway(target).configure()) {
+      String part = "x".repeat(UPLOAD_BYTES / 2);
+      Call upload =
+          gateway.connect().sendPart("cut", StallableGateway.ROUTE_TIMEOUT_MS, UPLOAD_BYTES, part);
+      StallableGateway.await(() -> gateway.bufferedBytes() >= UPLOAD_BYTES / 2);
+      gateway.endRequests();
+      assertThat(upload.status()).isEqualTo(UNAVAILABLE);
+      StallableGateway.await(() -> gateway.bufferedBytes() == 0);
+      assertThat(target.arrivalsOf("cut")).isEqualTo(0);
+    }
+  }
 }
