--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -8,7 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
-import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.io.EndPoint;
@@ -44,7 +44,7 @@
     OptionalInt key,
     RequestIdentity identity,
     HttpFields headers,
-    byte[] body,
+    BufferedBody body,
     long arrivedMs,
     long deadlineMs,
     UpperTime deadline,
@@ -78,7 +78,8 @@
         request.getHeaders().contains(HttpHeader.CONTENT_LENGTH)
             || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
     return declared
-        ? new BytesRequestContent(request.getHeaders().get(HttpHeader.CONTENT_TYPE), body)
+        ? new ByteBufferRequestContent(
+            request.getHeaders().get(HttpHeader.CONTENT_TYPE), body.views())
         : null;
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -20,6 +20,7 @@
  * @param quotas tracks the rate limits of targets; not null
  * @param signals reads the signals of targets in their responses; not null
  * @param backoffs tracks the targets that asked for a back-off; not null
+ * @param buffers the memory for bodies; not null
  * @param client the HTTP client for targets; not null
  * @param relay has peers send requests; not null
  * @param budgets limit retries; not null
@@ -43,6 +44,7 @@
     TargetQuotas quotas,
     SignalReader signals,
     TargetBackoffs backoffs,
+    BodyBuffers buffers,
     TargetClient client,
     PeerRelay relay,
     RetryBudgets budgets,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -37,6 +37,7 @@
   private volatile Slot slot;
   private volatile TargetAttempt currentAttempt;
   private volatile TargetAnswerBody response;
+  private volatile TargetAnswerBody relayed;
   private volatile Cancellable deadlineTimer = () -> {};
   private volatile Cancellable slotWaitTimer = () -> {};
 
@@ -45,7 +46,7 @@
     this.call = call;
     this.onEnded = onEnded;
     this.slotRequest =
-        new SlotRequest(call.route(), call.service(), call.key(), call.body().length, this);
+        new SlotRequest(call.route(), call.service(), call.key(), call.body().length(), this);
     this.machine =
         new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget, earlierRuns(call));
     this.forwarding = new PeerForwarding(services, call, machine, this);
@@ -167,9 +168,10 @@
   }
 
   @Override
-  public void onResponse(TargetAttempt attempt, int status, HttpFields headers, byte[] body) {
-    response = new TargetAnswerBody(status, headers, body);
-    decide(() -> machine.onAnswer(status, services.clock().nowMs()));
+  public void onResponse(TargetAttempt attempt, int status, HttpFields headers, BufferedBody body) {
+    decideOn(
+        new TargetAnswerBody(status, headers, body),
+        () -> machine.onAnswer(status, services.clock().nowMs()));
   }
 
   @Override
@@ -228,8 +230,17 @@
   }
 
   @Override
-  public void setResponse(PeerAnswer answer) {
-    response = new TargetAnswerBody(answer.status(), answer.headers(), answer.body());
+  public void decideOn(PeerAnswer answer, Supplier<List<ExchangeEffect>> event) {
+    decideOn(new TargetAnswerBody(answer.status(), answer.headers(), answer.body()), event);
+  }
+
+  /** Decides on a response and releases its body, unless that response is being relayed. */
+  private void decideOn(TargetAnswerBody complete, Supplier<List<ExchangeEffect>> event) {
+    response = complete;
+    decide(event);
+    if (relayed != complete) {
+      complete.body().release();
+    }
   }
 
   @Override
@@ -328,6 +339,7 @@
 
   private void relay(boolean failed) {
     TargetAnswerBody complete = response;
+    relayed = complete;
     count(failed ? RequestOutcome.FAILED_AT_TARGET : RequestOutcome.ANSWERED);
     String event = failed ? "request_failed_at_target" : "request_served";
     log(event, currentAttempt, "status_" + complete.status());
@@ -338,7 +350,7 @@
         CallerHeaders.passedOn(complete.headers()),
         complete.body(),
         services.stop().isStopping(),
-        Callback.from(onEnded, call.callback()));
+        Callback.from(complete.body()::release, Callback.from(onEnded, call.callback())));
   }
 
   private void respond(int status, long retryAfterMs, String reason) {
@@ -411,5 +423,5 @@
   }
 
   /** A response of a target, buffered completely. */
-  private record TargetAnswerBody(int status, HttpFields headers, byte[] body) {}
+  private record TargetAnswerBody(int status, HttpFields headers, BufferedBody body) {}
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -10,9 +10,9 @@
 import io.cuminvalve.router.caller.CallerHeaders;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -142,7 +142,7 @@
     if (hasBody(request)) {
       readBody(inProgress, configuration, route.get());
     } else {
-      begin(inProgress, configuration, route.get(), new byte[0]);
+      begin(inProgress, configuration, route.get(), BufferedBody.EMPTY);
     }
   }
 
@@ -177,23 +177,41 @@
 
   private void readBody(
       RequestInProgress inProgress, RoutingConfiguration configuration, Route route) {
-    int limit = (int) Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
+    long limit = Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
     if (!inProgress.enter(RequestPhase.READING, () -> refuseAtStopLimit(inProgress))) {
       return;
     }
-    Content.Source.asByteArrayAsync(inProgress.request(), limit)
-        .whenComplete(
-            (body, failure) -> {
-              if (failure == null) {
-                begin(inProgress, configuration, route, body);
-              } else if (inProgress.enterAnswering()) {
-                inProgress.callback().failed(failure);
-              }
-            });
+    Request request = inProgress.request();
+    CompletableFuture<BufferedBody> reading =
+        services.buffers().readRequest(request, request.getLength(), limit);
+    inProgress.keep(reading);
+    reading.whenComplete(
+        (body, failure) -> {
+          if (failure == null) {
+            begin(inProgress, configuration, route, body);
+          } else {
+            onUnreadBody(inProgress, failure);
+          }
+        });
+  }
+
+  private void onUnreadBody(RequestInProgress inProgress, Throwable failure) {
+    if (!(failure instanceof BodyRefusedException refused)) {
+      if (inProgress.enterAnswering()) {
+        inProgress.callback().failed(failure);
+      }
+    } else if (refused.isTooLarge()) {
+      refuse(inProgress, CallerResponseWriter.TOO_LARGE, "body_too_large");
+    } else {
+      refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "body_no_room");
+    }
   }
 
   private void begin(
-      RequestInProgress inProgress, RoutingConfiguration configuration, Route route, byte[] body) {
+      RequestInProgress inProgress,
+      RoutingConfiguration configuration,
+      Route route,
+      BufferedBody body) {
     Request request = inProgress.request();
     Optional<RelayedRequest> relayed = RelayedRequest.of(request);
     ServiceId service =
@@ -234,14 +252,14 @@
     }
   }
 
-  private static RequestIdentity identityOf(Request request, OptionalInt key, byte[] body) {
+  private static RequestIdentity identityOf(Request request, OptionalInt key, BufferedBody body) {
     RequestFingerprint content =
         RequestFingerprint.of(
             request.getMethod(),
             CallerRequest.hostOf(request),
             request.getHttpURI().getPathQuery(),
             key,
-            body);
+            body.parts());
     String caller =
         RelayedRequest.of(request)
             .map(RelayedRequest::caller)
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.buffer.BufferBudget;
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.gateway.AnswerDecoder;
@@ -80,6 +81,7 @@
   private final RequestTimers timers = new RequestTimers();
   private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, 1);
   private final ConnectProbe reachProbe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, REACH_PROBES);
+  private final BodyBuffers buffers;
   private final TrafficReports reports;
   private final GatewayHandler handler;
 
@@ -122,10 +124,11 @@
         sharedKey,
         ready,
         stop,
-        Dispatcher::submit);
+        Dispatcher::submit,
+        BufferBudget.ofHeap(Runtime.getRuntime().maxMemory()));
   }
 
-  /** Creates a server whose requests for slots are submitted in the given way. */
+  /** Creates a server with a budget for bodies, and a way to submit requests for slots. */
   GatewayServer(
       GatewaySettings settings,
       RoutingState state,
@@ -138,7 +141,9 @@
       SharedKey sharedKey,
       BooleanSupplier ready,
       StopProgress stop,
-      BiConsumer<Dispatcher, SlotRequest> submission) {
+      BiConsumer<Dispatcher, SlotRequest> submission,
+      BufferBudget budget) {
+    this.buffers = new BodyBuffers(budget);
     SplittableRandom random = new SplittableRandom();
     this.client =
         new TargetClient(
@@ -155,7 +160,7 @@
                 false),
             address -> Integer.MAX_VALUE);
     DataCentreId dataCentre = new DataCentreId(settings.dataCentre());
-    RelayToken token = new RelayToken(sharedKey);
+    final RelayToken token = new RelayToken(sharedKey);
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
     new ColdTargetDetector(state, quotas, settings.coldBound(), clock);
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
@@ -178,6 +183,7 @@
             quotas,
             new SignalReader(decoder, quotas, backoffs, departures, unknownFields, log),
             backoffs,
+            buffers,
             client,
             new PeerRelay(state, peerClient, token, dataCentre, clock, random.split()),
             new RetryBudgets(settings, clock),
@@ -216,6 +222,10 @@
     Handler traffic = new ReadinessHandler(readiness, settings.readinessPath(), ready, admission);
     server.setHandler(new MetricsHandler(scrapes, page, traffic));
     page.addGauge("cuminvalve_requests_in_flight", "Requests without an answer.", this::inFlight);
+    page.addGauge(
+        "cuminvalve_buffered_bytes",
+        "Memory for buffered bodies of requests and responses.",
+        buffers::usedBytes);
     page.addGauge(
         "cuminvalve_relayed_requests_in_flight",
         "Requests without an answer that other gateways relay.",
@@ -363,6 +373,11 @@
     return handler.inFlight();
   }
 
+  /** Returns the memory that buffered bodies take; bytes. */
+  long bufferedBytes() {
+    return buffers.usedBytes();
+  }
+
   /**
    * Returns how many requests without a response are in each phase.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerAnswer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerAnswer.java
@@ -9,9 +9,9 @@
  * @param outcome how the request ended there; not null
  * @param status the HTTP status
  * @param headers the header fields; not null
- * @param body the body; not null
+ * @param body the body, which belongs to whoever receives the answer; not null
  */
-record PeerAnswer(RelayOutcome outcome, int status, HttpFields headers, byte[] body) {
+record PeerAnswer(RelayOutcome outcome, int status, HttpFields headers, BufferedBody body) {
 
   /** Returns the number of targets on which the request may have run; 0 if the peer did not say. */
   int runs() {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerAttempt.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.http.HttpHeader;
 
 /**
  * One attempt to have a peer send a request, and to receive its answer.
@@ -34,9 +34,6 @@
     void onFailure(PeerAttempt attempt, boolean mayHaveRun, String reason);
   }
 
-  /** The same as for responses of targets, which peers pass on whole. */
-  private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
-
   private final ExchangeServices services;
   private final CallerRequest call;
   private final RelayPeer peer;
@@ -118,17 +115,24 @@
       fail(true, "foreign_answer");
       return;
     }
-    Content.Source.asByteArrayAsync(answer.body(), MAX_ANSWER_BYTES)
+    services
+        .buffers()
+        .readResponse(answer.body(), answer.headers().getLongField(HttpHeader.CONTENT_LENGTH))
         .whenComplete((body, failure) -> onBodyRead(outcome.get(), answer, body, failure));
   }
 
   private void onBodyRead(
-      RelayOutcome outcome, TargetAnswer answer, byte[] body, Throwable failure) {
-    if (failure != null) {
+      RelayOutcome outcome, TargetAnswer answer, BufferedBody body, Throwable failure) {
+    if (failure instanceof BodyRefusedException refused) {
+      exchange.abandon("the answer does not fit");
+      fail(true, refused.isTooLarge() ? "answer_too_large" : "answer_no_room");
+    } else if (failure != null) {
       exchange.abandon("the answer was incomplete");
       fail(true, "cut_answer");
     } else if (ended.compareAndSet(false, true)) {
       listener.onAnswer(this, new PeerAnswer(outcome, answer.status(), answer.headers(), body));
+    } else {
+      body.release();
     }
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerForwarding.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerForwarding.java
@@ -19,8 +19,8 @@
     /** Lets the state machine decide on an event, and executes the effects. */
     void decide(Supplier<List<ExchangeEffect>> event);
 
-    /** Sets the response of a target, before the event that may relay it. */
-    void setResponse(PeerAnswer answer);
+    /** Like {@link #decide}, on a response of a target, whose body this releases in the end. */
+    void decideOn(PeerAnswer answer, Supplier<List<ExchangeEffect>> event);
   }
 
   /** Retry delay after a peer that could not be reached or named none. */
@@ -100,11 +100,13 @@
   public void onAnswer(PeerAttempt from, PeerAnswer answer) {
     record(from, answer.outcome().label(), "status_" + answer.status());
     int runs = answer.runs();
+    if (answer.outcome() != RelayOutcome.SERVED) {
+      answer.body().release();
+    }
     switch (answer.outcome()) {
-      case SERVED -> {
-        exchange.setResponse(answer);
-        exchange.decide(() -> machine.onPeerAnswer(answer.status(), runs, isPossible(), nowMs()));
-      }
+      case SERVED ->
+          exchange.decideOn(
+              answer, () -> machine.onPeerAnswer(answer.status(), runs, isPossible(), nowMs()));
       case FAILED ->
           exchange.decide(() -> machine.onPeerFailure(runs, "peer_failed", isPossible(), nowMs()));
       case UNUSABLE -> {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.kernel.UpperTime;
+import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -20,6 +21,8 @@
   private volatile RequestPhase phase = RequestPhase.ROUTING;
   private Runnable ender = () -> {};
   private boolean endedEarly;
+  private boolean ended;
+  private CompletableFuture<BufferedBody> body = new CompletableFuture<>();
 
   /**
    * Creates a request in progress.
@@ -69,9 +72,36 @@
     return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
+  /**
+   * Keeps the body until the request ends: then its reading ends, or its memory is released. Both
+   * happen at once if the request has ended already.
+   */
+  void keep(CompletableFuture<BufferedBody> reading) {
+    boolean late;
+    synchronized (this) {
+      body = reading;
+      late = ended;
+    }
+    if (late) {
+      release(reading);
+    }
+  }
+
   /** Removes the request from those in progress; has no effect the second time. */
   void end() {
     all.remove(this);
+    CompletableFuture<BufferedBody> kept;
+    synchronized (this) {
+      ended = true;
+      kept = body;
+    }
+    release(kept);
+  }
+
+  private static void release(CompletableFuture<BufferedBody> reading) {
+    if (!reading.cancel(false)) {
+      reading.thenAccept(BufferedBody::release);
+    }
   }
 
   RequestPhase phase() {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.buffer.BufferBudget;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.core.fleet.TargetPhase;
@@ -42,6 +43,9 @@
   static final long UNREACHABLE_RETRY_MS = 700;
   static final DataCentreId HERE = new DataCentreId("here");
 
+  /** The memory for bodies. */
+  private static final long BUDGET_BYTES = 4L * 1024 * 1024;
+
   private static final long TIMEOUT_MS = 120_000;
   private static final ServiceId FILES = new ServiceId("files");
   private static final ServiceId BOOKINGS = new ServiceId("bookings");
@@ -70,7 +74,8 @@
             new SharedKey(KEY),
             () -> true,
             new StopProgress(clock, settings().stopPolicy()),
-            submission);
+            submission,
+            new BufferBudget(BUDGET_BYTES));
     configure(targetAddress);
     server.start();
   }
@@ -187,6 +192,16 @@
     return server.callerPort();
   }
 
+  /** Returns the memory that buffered bodies take; bytes. */
+  long bufferedBytes() {
+    return server.bufferedBytes();
+  }
+
+  /** Ends all requests in progress, as at the end of a stop. */
+  void endRequests() {
+    server.endRequests();
+  }
+
   int inFlight() {
     return server.inFlight();
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayTest.java
@@ -78,6 +78,60 @@
     assertThat(target.arrivalsOf("one")).isEqualTo(1);
   }
 
+  /** Guards against bodies that keep their memory at one of the two gateways. */
+  @Test
+  void relayedBodiesReturnTheirMemory() throws Exception {
+    CountDownLatch answering = new CountDownLatch(1);
+    opened.add(answering::countDown);
+    RawTarget target =
+        target(
+            (connection, id) -> {
+              answering.await();
+              return signed(id, "200 OK", "a".repeat(LARGE_BYTES));
+            });
+    RelayGateway peer = reaching(target);
+    RelayGateway cut = cut(peer.asPeer());
+    final RawCall call = call(cut).post("/bookings/", "one", new byte[LARGE_BYTES]);
+    StallableGateway.await(() -> target.arrivalsOf("one") == 1);
+    assertThat(cut.bufferedBytes()).isAtLeast((long) LARGE_BYTES);
+    assertThat(peer.bufferedBytes()).isAtLeast((long) LARGE_BYTES);
+    answering.countDown();
+    assertThat(call.reply().status()).isEqualTo(200);
+    StallableGateway.await(() -> cut.bufferedBytes() == 0 && peer.bufferedBytes() == 0);
+  }
+
+  /**
+   * Guards against answers of peers that are dropped, since the peer's refusal is not passed on.
+   */
+  @Test
+  void bodiesOfRefusedRelayedRequestsReturnTheirMemory() throws Exception {
+    RawTarget target = target((connection, id) -> RawTarget.rejection(503, id));
+    RelayGateway peer = reaching(target);
+    RelayGateway cut = cut(peer.asPeer());
+    Reply reply = call(cut).post("/bookings/", "one", new byte[LARGE_BYTES]).reply();
+    assertThat(reply.status()).isEqualTo(503);
+    StallableGateway.await(() -> cut.bufferedBytes() == 0 && peer.bufferedBytes() == 0);
+  }
+
+  @Test
+  void relayedBodiesReturnTheirMemoryAtTheStopLimit() throws Exception {
+    CountDownLatch never = new CountDownLatch(1);
+    opened.add(never::countDown);
+    RawTarget target =
+        target(
+            (connection, id) -> {
+              never.await();
+              return RawTarget.success(id);
+            });
+    RelayGateway peer = reaching(target);
+    RelayGateway cut = cut(peer.asPeer());
+    RawCall call = call(cut).post("/bookings/", "one", new byte[LARGE_BYTES]);
+    StallableGateway.await(() -> target.arrivalsOf("one") == 1);
+    cut.endRequests();
+    assertThat(call.reply().status()).isEqualTo(504);
+    StallableGateway.await(() -> cut.bufferedBytes() == 0 && peer.bufferedBytes() == 0);
+  }
+
   @Test
   void withoutPeersRequestsAreRefusedAtOnce() throws Exception {
     Reply reply = call(cut()).post("/bookings/", "one", bytes("ok")).reply();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.buffer.BufferBudget;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.TargetSignals;
 import io.cuminvalve.core.id.DataCentreId;
@@ -105,6 +106,7 @@
             quotas,
             new SignalReader(null, quotas, backoffs, departures, null, log),
             backoffs,
+            new BodyBuffers(new BufferBudget(0)),
             new TargetClient(TargetClientLimits.DEFAULT, address -> 1),
             null,
             null,
@@ -143,7 +145,7 @@
 
   /** Hands a request to a handler. */
   void handle(GatewayHandler handler, Request request, Callback completion) {
-    handler.handle(request, response(), completion);
+    handler.handle(request, response(request), completion);
   }
 
   /** Ends a request that was not sent to a target. */
@@ -153,9 +155,10 @@
   }
 
   private CallerRequest call(Callback completion) {
+    Request request = request();
     return new CallerRequest(
-        request(),
-        response(),
+        request,
+        response(request),
         completion,
         "one",
         ROUTE,
@@ -163,7 +166,7 @@
         OptionalInt.empty(),
         IDENTITY,
         HttpFields.EMPTY,
-        new byte[0],
+        BufferedBody.EMPTY,
         clock.nowMs(),
         DEADLINE_MS,
         clock.upper().plusMs(DEADLINE_MS),
@@ -283,7 +286,8 @@
   private static final class IgnoringListener implements TargetAttempt.Listener {
 
     @Override
-    public void onResponse(TargetAttempt attempt, int status, HttpFields headers, byte[] body) {}
+    public void onResponse(
+        TargetAttempt attempt, int status, HttpFields headers, BufferedBody body) {}
 
     @Override
     public void onNotExecuted(TargetAttempt attempt, int status) {}
@@ -313,7 +317,7 @@
             metaData));
   }
 
-  private static Response response() {
+  private static Response response(Request request) {
     HttpFields.Mutable headers = HttpFields.build();
     Request request = request();
     return (Response)
