Await the count of relayed requests in a test

Cause: RelayTest read a counter of the relaying gateway right after the caller had its answer, or after the request no longer counted as in progress; the counter is incremented after both.

Change: both wait for the same value, with the time limit of the class, as the test does for the caller that left. The values are unchanged.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayTest.java
@@ -209,7 +209,7 @@
     StallableGateway.await(
         () -> peer.shows("cuminvalve_requests_total{outcome=\"caller_gone\",route=\"files\"} 1.0"));
     StallableGateway.await(() -> cut.inFlight() == 0 && peer.inFlight() == 0);
-    assertThat(peer.shows("cuminvalve_relayed_total{outcome=\"abandoned\"} 1.0")).isTrue();
+    StallableGateway.await(() -> peer.shows("cuminvalve_relayed_total{outcome=\"abandoned\"} 1.0"));
   }
 
   @Test
@@ -222,7 +222,7 @@
     assertThat(call(first).post("/bookings/", "one", bytes("ok")).reply().status()).isEqualTo(503);
     assertThat(target.arrivals()).isEmpty();
     assertThat(first.shows("cuminvalve_forwarded_total{outcome=\"refused\"} 1.0")).isTrue();
-    assertThat(second.shows("cuminvalve_relayed_total{outcome=\"refused\"} 1.0")).isTrue();
+    StallableGateway.await(() -> second.shows("cuminvalve_relayed_total{outcome=\"refused\"} 1.0"));
   }
 
   @Test
