--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -319,7 +319,6 @@
 
   private static Response response(Request request) {
     HttpFields.Mutable headers = HttpFields.build();
-    Request request = request();
     return (Response)
         Proxy.newProxyInstance(
             TrafficFixture.class.getClassLoader(),
