Count a target that refused and listens again as ended

Cause: a request that ends its targets could reach many more than its quarantine allows. Since a refused connection alone proves no end any more, a probe decides after 300 ms; a target that had been replaced at its address by then listened, and its broken attempts were dropped.

Change: if a target has refused a connection since the attempt broke, and its address listens at the probe, another run is there, and the attempt counts, unless the path is in doubt. A refusal by a probe while the path is in doubt withdraws the evidence, so that a cut that heals ends no target. Test: two in CrashDetectorTest; TargetCrashingRequestTest unchanged.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CrashDetector.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CrashDetector.java
@@ -151,15 +151,35 @@
   }
 
   private void onProbed(FleetTarget target, TargetProbe.Finding finding) {
-    if (finding == TargetProbe.Finding.REFUSED && pathDoubtful.getAsBoolean()) {
+    boolean inDoubt = pathDoubtful.getAsBoolean();
+    if (finding == TargetProbe.Finding.REFUSED && inDoubt) {
+      forgetRefusal(target.id());
       timers.schedule(() -> probe(target), PROBE_DELAY_MS);
     } else if (finding == TargetProbe.Finding.REFUSED) {
       onEnded(target.id());
     } else if (finding == TargetProbe.Finding.LISTENING) {
-      take(target.id());
+      onListening(target.id(), inDoubt);
     }
   }
 
+  /** Another run listens at the address of a target that has refused a connection before. */
+  private void onListening(TargetId target, boolean inDoubt) {
+    if (!inDoubt && hasRefused(target)) {
+      onEnded(target);
+    } else {
+      take(target);
+    }
+  }
+
+  private synchronized boolean hasRefused(TargetId target) {
+    return refused.contains(target);
+  }
+
+  /** Refusals of a target prove nothing once the path is in doubt, also after it has returned. */
+  private synchronized void forgetRefusal(TargetId target) {
+    refused.remove(target);
+  }
+
   private synchronized List<BrokenAttempt> take(TargetId target) {
     refused.remove(target);
     List<BrokenAttempt> attempts = unresolved.remove(target);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CrashDetectorTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/CrashDetectorTest.java
@@ -85,6 +85,29 @@
     assertThat(crashed).containsExactly("one");
   }
 
+  /** Guards against crashes that go unnoticed since the next run listens before the probe. */
+  @Test
+  void targetsThatRefuseAndListenAgainHaveEnded() {
+    probeResult = TargetProbe.Finding.LISTENING;
+    breakConnection("one");
+    crashDetector.onRefused(TARGET_ID);
+    clock.advance(1_000);
+    assertThat(crashed).containsExactly("one");
+  }
+
+  @Test
+  void refusalsWhileThePathIsInDoubtProveNothingAfterItHasReturned() {
+    pathDoubtful = true;
+    probeResult = TargetProbe.Finding.REFUSED;
+    breakConnection("one");
+    crashDetector.onRefused(TARGET_ID);
+    clock.advance(400);
+    pathDoubtful = false;
+    probeResult = TargetProbe.Finding.LISTENING;
+    clock.advance(1_000);
+    assertThat(crashed).isEmpty();
+  }
+
   @Test
   void refusingTargetsHaveEndedIfAnotherOneAnswersLaterRequests() {
     breakConnection("one");
