Parse addresses in one place, and share what the change wrote again

Dispatcher copied the list of waiting services twice. The same early end was named for three phases of a request, and what a relaying gateway says was read twice for each request. The comment of SETTLED_MS claimed what callers do.

Change: SocketAddresses.parse; Dispatcher.onRoutingChanged calls dispatchWaiting; a phase may keep the end of the one before; identityOf is given what was read. No behaviour changed, no test changed.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -50,7 +50,7 @@
 
   private static final long STOP_POLL_MS = 20;
 
-  /** A caller that has opened a connection or read a response sends a request within this time. */
+  /** A request may be on its way on a connection that was used within this time. */
   private static final long SETTLED_MS = 1_000;
 
   private static final double MS_PER_SECOND = 1000.0;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ConnectProbe.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ConnectProbe.java
@@ -3,7 +3,6 @@
 import io.cuminvalve.kernel.NamedThreads;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.RejectedExecutionException;
@@ -46,12 +45,8 @@
   }
 
   private Finding tryConnect(String address) {
-    int colon = address.lastIndexOf(':');
-    InetSocketAddress to =
-        new InetSocketAddress(
-            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     try (Socket socket = new Socket()) {
-      socket.connect(to, timeoutMs);
+      socket.connect(SocketAddresses.parse(address), timeoutMs);
       return Finding.LISTENING;
     } catch (ConnectException refused) {
       return Finding.REFUSED;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -262,14 +262,12 @@
   }
 
   private void onRoutingChanged() {
-    List<ServiceId> services;
     synchronized (this) {
-      services = List.copyOf(waiting.keySet());
       Predicate<TargetId> isGone = id -> state.current().target(id).isEmpty();
       replaced.removeIf(isGone);
       slotsByTarget.entrySet().removeIf(e -> e.getValue().inUse() == 0 && isGone.test(e.getKey()));
     }
-    services.forEach(this::dispatchWaiting);
+    dispatchWaiting();
   }
 
   /** Tries again to assign slots to all queued requests, or refuses them. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -97,7 +97,7 @@
   private void hold(RequestInProgress inProgress) {
     Runnable refusal =
         () -> refuse(inProgress, CallerResponseWriter.UNAVAILABLE, "no_configuration");
-    inProgress.enter(RequestPhase.HELD, () -> refuseAtStopLimit(inProgress));
+    inProgress.enter(RequestPhase.HELD);
     if (!startupBuffer.hold(() -> resume(inProgress), refusal)) {
       refusal.run();
     }
@@ -178,7 +178,7 @@
   private void readBody(
       RequestInProgress inProgress, RoutingConfiguration configuration, Route route) {
     long limit = Math.min(Integer.MAX_VALUE, configuration.bounds().maxBodyBytes());
-    if (!inProgress.enter(RequestPhase.READING, () -> refuseAtStopLimit(inProgress))) {
+    if (!inProgress.enter(RequestPhase.READING)) {
       return;
     }
     Request request = inProgress.request();
@@ -239,7 +239,7 @@
             route,
             service,
             key,
-            identityOf(request, key, body),
+            identityOf(request, relayed, key, body),
             CallerHeaders.passedOn(request.getHeaders()),
             body,
             arrivedMs - relayed.map(RelayedRequest::ageMs).orElse(0L),
@@ -252,7 +252,8 @@
     }
   }
 
-  private static RequestIdentity identityOf(Request request, OptionalInt key, BufferedBody body) {
+  private static RequestIdentity identityOf(
+      Request request, Optional<RelayedRequest> relayed, OptionalInt key, BufferedBody body) {
     RequestFingerprint content =
         RequestFingerprint.of(
             request.getMethod(),
@@ -261,9 +262,7 @@
             key,
             body.parts());
     String caller =
-        RelayedRequest.of(request)
-            .map(RelayedRequest::caller)
-            .orElseGet(() -> Request.getRemoteAddr(request));
+        relayed.map(RelayedRequest::caller).orElseGet(() -> Request.getRemoteAddr(request));
     return new RequestIdentity(content, content.by(caller));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
@@ -7,7 +7,6 @@
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetRequest;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
@@ -82,17 +81,10 @@
     headers.put(RelayHeaders.SERVICE, call.service().value());
     headers.put(RelayHeaders.CALLER, Request.getRemoteAddr(call.request()));
     return new TargetRequest(
-        addressOf(peer),
+        SocketAddresses.parse(peer.address()),
         call.request().getMethod(),
         call.request().getHttpURI().getPathQuery(),
         headers,
         call.content());
   }
-
-  private static InetSocketAddress addressOf(RelayPeer peer) {
-    String address = peer.address();
-    int colon = address.lastIndexOf(':');
-    return new InetSocketAddress(
-        address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-  }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
@@ -108,6 +108,16 @@
     return phase;
   }
 
+  /**
+   * Enters the next phase, in which an early end writes the same response as in the one before.
+   *
+   * @param next the phase; not null
+   * @return false if the request was ended early, so that nothing more may be done for it
+   */
+  synchronized boolean enter(RequestPhase next) {
+    return enter(next, ender);
+  }
+
   /**
    * Enters the next phase.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -12,7 +12,6 @@
 import io.cuminvalve.router.target.TargetListener;
 import io.cuminvalve.router.target.TargetRequest;
 import java.net.ConnectException;
-import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
@@ -97,15 +96,10 @@
   }
 
   private TargetRequest targetRequest() {
-    String address = slot.target().address();
-    int colon = address.lastIndexOf(':');
-    InetSocketAddress socketAddress =
-        new InetSocketAddress(
-            address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
     HttpFields.Mutable headers = HttpFields.build(call.headers());
     headers.put(services.headers().targetId(), slot.target().id().name());
     return new TargetRequest(
-        socketAddress,
+        SocketAddresses.parse(slot.target().address()),
         call.request().getMethod(),
         call.request().getHttpURI().getPathQuery(),
         headers,
