Do not log an abandoned relay as a caller that left

Cause: request_forwarded said why=caller_gone also for a request that was ended at the limit of a stop, since both abandon the attempt at a peer.

Change: why=request_ended, as for attempts at targets; whether the caller left is told by caller_gone.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -305,7 +305,7 @@
   }
 
   private void abandon(boolean late) {
-    forwarding.abandon(late ? "timeout" : "caller_gone");
+    forwarding.abandon(late ? "timeout" : "request_ended");
     TargetAttempt attempt = currentAttempt;
     if (attempt == null) {
       return;
