--- /dev/null
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/locality/package-info.java
@@ -0,0 +1,2 @@
+/** Whether requests leave their data centre. */
+package io.cuminvalve.core.locality;
