Cut off targets that send bytes of no answer without end

Cause: the library bounds heads and trailers, and readers bound bodies; interim responses and size lines of chunks had no bound and were read until the time limit of the request. A second "continue" response counted as the answer, and the library then stopped reading. Change: connections to targets count the bytes between one part of an answer and the next, and fail beyond four heads of full size. Every "continue" response is passed over.

--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -39,6 +39,13 @@
   private static final int POOL_CAPACITY = 4096;
 
   private static final int MAX_WAITING_FOR_CONNECTION = 1024;
+
+  /**
+   * Room between the parts of an answer, in heads of full size: the head itself, interim heads
+   * before it, a read buffer, and the trailers of the answer.
+   */
+  private static final int MAX_HEADS_BETWEEN_PARTS = 4;
+
   private static final String SCHEME = "http";
 
   private final HttpClient client;
@@ -60,7 +67,8 @@
   private HttpClient newClient(TargetClientLimits limits) {
     DaemonThreadPool threads =
         new DaemonThreadPool("target", limits.maxThreads(), limits.maxThreads());
-    ClientConnector connector = new ResetReportingConnector();
+    ClientConnector connector =
+        new ResetReportingConnector((long) MAX_HEADS_BETWEEN_PARTS * limits.maxHeaderBytes());
     connector.setSelectors(1);
     connector.setExecutor(threads);
     HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
@@ -99,6 +107,7 @@
     }
     client.getContentDecoderFactories().clear();
     ProtocolHandlers handlers = client.getProtocolHandlers();
+    handlers.put(new RepeatedContinueHandler());
     handlers.remove(RedirectProtocolHandler.NAME);
     handlers.remove(WWWAuthenticationProtocolHandler.NAME);
     handlers.remove(ProxyAuthenticationProtocolHandler.NAME);
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
@@ -71,6 +71,7 @@
   }
 
   private void onRequestBegin(Request begun) {
+    onProgress();
     try {
       handedOver = listener.onConnection((HttpFields.Mutable) begun.getHeaders());
     } catch (Throwable broken) {
@@ -89,11 +90,17 @@
       abort(new UnboundedAnswerException());
       return;
     }
+    onProgress();
     if (decided.compareAndSet(false, true)) {
-      listener.onAnswer(new TargetAnswer(response.getStatus(), response.getHeaders(), body));
+      Content.Source counted = new ProgressReportingSource(body, this::onProgress);
+      listener.onAnswer(new TargetAnswer(response.getStatus(), response.getHeaders(), counted));
     }
   }
 
+  private void onProgress() {
+    ResetReportingConnector.onProgress(request.getConnection());
+  }
+
   private void onComplete(Result result) {
     if (result.isFailed()) {
       fail(result.getFailure());
