Pace targets that have started or recovered

Cause: a target that registered, or whose pause ended, got the whole share of each gateway at once. Change: each gateway draws such a target with a small share, which doubles with good answers, halves on slow and refused ones, and begins again when an answer is missing. Targets known when a gateway starts are not paced. Log event target_pace, metric cuminvalve_paced_targets. DispatcherTest passes a share of 1, as the constructor asks for one.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -79,6 +79,7 @@
   private final TargetQuotas quotas;
   private final TargetBackoffs backoffs;
   private final Predicate<FleetTarget> isReachable;
+  private final TargetPace pace;
   private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
   private final Map<ServiceId, PriorityQueue<SlotRequest>> waiting = new HashMap<>();
   private final Map<String, Double> meanTimeMsByRoute = new HashMap<>();
@@ -95,7 +96,8 @@
       RandomGenerator random,
       TargetQuotas quotas,
       TargetBackoffs backoffs,
-      Predicate<FleetTarget> isReachable) {
+      Predicate<FleetTarget> isReachable,
+      TargetPace pace) {
     this.state = state;
     this.dataCentre = dataCentre;
     this.clock = clock;
@@ -103,6 +105,7 @@
     this.quotas = quotas;
     this.backoffs = backoffs;
     this.isReachable = isReachable;
+    this.pace = pace;
     state.onChange(this::onRoutingChanged);
     quotas.onUsable(this::dispatchWaiting);
     backoffs.onEnd(this::dispatchWaiting);
@@ -335,6 +338,7 @@
     }
     return findReadyOwner(request, snapshot)
         .filter(target -> canAccept(target, snapshot))
+        .filter(target -> slotsOf(target, snapshot).hasFreeSlot(pace.shareOf(target)))
         .filter(target -> quotas.take(target, request.route().priority()));
   }
 
@@ -446,7 +450,7 @@
       if (!usable || quotas.refusedForMs(target.id(), priority).isPresent()) {
         continue;
       }
-      double cost = slotsOf(target, snapshot).cost(target.slots());
+      double cost = slotsOf(target, snapshot).cost(target.slots()) / pace.shareOf(target);
       cost *= target.dataCentre().equals(dataCentre) ? 1 : remoteCost(request);
       cost *= 1 + COST_JITTER * random.nextDouble();
       if (cost < bestCost) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ExchangeServices.java
@@ -27,6 +27,7 @@
  * @param quarantine holds back requests that crash targets; not null
  * @param crashDetector detects during which requests targets end; not null
  * @param reach tells which targets can be reached; not null
+ * @param paces paces targets that start or recover; not null
  * @param keyLoad sums up the load of keys; not null
  * @param timers run deadlines; not null
  * @param clock the time; not null
@@ -51,6 +52,7 @@
     RequestQuarantine quarantine,
     CrashDetector crashDetector,
     ReachMonitor reach,
+    PacedTargets paces,
     KeyLoadMeter keyLoad,
     Timers timers,
     MillisClock clock,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -166,8 +166,10 @@
     TargetBackoffs backoffs = new TargetBackoffs(clock, timers, random.split(), log);
     TargetDepartures departures = new TargetDepartures(state);
     ReachMonitor reach = new ReachMonitor(state, reachProbe, timers, clock, log);
+    PacedTargets paces = new PacedTargets(state, clock, random.split(), log);
     Dispatcher dispatcher =
-        new Dispatcher(state, dataCentre, clock, random.split(), quotas, backoffs, reach::isUsable);
+        new Dispatcher(
+            state, dataCentre, clock, random.split(), quotas, backoffs, reach::isUsable, paces);
     reach.onChange(dispatcher::dispatchWaiting);
     backoffs.onStart(dispatcher::onBackoff);
     KeyLoadMeter keyLoad = new KeyLoadMeter();
@@ -190,6 +192,7 @@
             quarantine,
             crashDetector,
             reach,
+            paces,
             keyLoad,
             timers,
             clock,
@@ -250,6 +253,10 @@
         "cuminvalve_unreachable_targets",
         "Targets that this gateway cannot reach.",
         reach::unreachableCount);
+    page.addGauge(
+        "cuminvalve_paced_targets",
+        "Targets that have started or recovered and get a share of their requests.",
+        paces::size);
     page.addGauge(
         "cuminvalve_resting_targets",
         "Targets that have asked this gateway for rest.",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -264,6 +264,13 @@
     }
   }
 
+  private void recordPace(long tookMs) {
+    FleetTarget target = slot.target();
+    if (outcome != AttemptOutcome.NO_ANSWER || services.reach().isUsable(target)) {
+      services.paces().onOutcome(target, slotRequest.route().name(), outcome, tookMs);
+    }
+  }
+
   @Override
   public void onReleased() {
     if (released.compareAndSet(false, true)) {
@@ -273,6 +280,7 @@
         long workMs = occupancy.map(stated -> stated.serviceTimeMs(tookMs)).orElse(tookMs);
         services.keyLoad().add(call.service(), call.key().getAsInt(), workMs);
       }
+      recordPace(tookMs);
       services.dispatcher().release(slot, slotRequest, outcome, tookMs);
     }
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetSlots.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetSlots.java
@@ -54,6 +54,11 @@
     return inUse < (int) limit;
   }
 
+  /** Like {@link #hasFreeSlot()}, with a share of the limit, which is one request at least. */
+  boolean hasFreeSlot(double share) {
+    return inUse < Math.max(1, (int) (limit * share));
+  }
+
   int inUse() {
     return inUse;
   }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -58,7 +58,14 @@
           new DecisionLog(() -> nowMs, 1, line -> {}));
   private final Dispatcher dispatcher =
       new Dispatcher(
-          state, LOCAL, () -> nowMs, new SplittableRandom(1), quotas, backoffs, target -> true);
+          state,
+          LOCAL,
+          () -> nowMs,
+          new SplittableRandom(1),
+          quotas,
+          backoffs,
+          target -> true,
+          target -> 1);
   private final List<String> placed = new ArrayList<>();
   private final List<Slot> slots = new ArrayList<>();
   private final Map<String, TargetRefusal> refused = new HashMap<>();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -93,9 +93,10 @@
     this.quarantine = new RequestQuarantine(clock);
     ReachMonitor reach = new ReachMonitor(state, (address, onDone) -> {}, timers, clock, log);
     CrashDetector crashDetector = new CrashDetector(state, null, timers, clock, reach::isDoubtful);
+    PacedTargets paces = new PacedTargets(state, clock, new SplittableRandom(5), log);
     this.dispatcher =
         new Dispatcher(
-            state, HERE, clock, new SplittableRandom(3), quotas, backoffs, reach::isUsable);
+            state, HERE, clock, new SplittableRandom(3), quotas, backoffs, reach::isUsable, paces);
     this.services =
         new ExchangeServices(
             state,
@@ -113,6 +114,7 @@
             quarantine,
             crashDetector,
             reach,
+            paces,
             keyLoad,
             timers,
             clock,
