Test that answers after interim responses are relayed

Cause: the bound on bytes of no answer, and passing over each "continue" response, must not touch answers that interim responses precede. Change: a test with three of each interim response before the answer, twice on one gateway. Conclusion: targets may send interim responses as before.

--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/EndlessResponseTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/EndlessResponseTest.java
@@ -144,6 +144,22 @@
     }
   }
 
+  /** Guards against interim responses that pass for the answer, or for bytes without end. */
+  @Test
+  void answersAfterInterimResponsesAreRelayed() throws Exception {
+    String interim =
+        "HTTP/1.1 100 Continue\r\n\r\n".repeat(3)
+            + "HTTP/1.1 102 Processing\r\n\r\n".repeat(3)
+            + "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n".repeat(3);
+    RawTarget.Script script =
+        (connection, id) -> interim + success(id, "Content-Length: 2\r\n") + "ok";
+    try (RawTarget target = new RawTarget(script);
+        StallableGateway gateway = new StallableGateway(target).configureKeyed()) {
+      assertThat(gateway.connect().sendBooking("one", 7).body()).isEqualTo("ok");
+      assertThat(gateway.connect().sendBooking("two", 7).body()).isEqualTo("ok");
+    }
+  }
+
   private static String success(String id, String more) {
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\n" + more + "\r\n";
   }
