Let requests wait for scarce places by what their callers have left

Cause: Where many gateways share targets with few places, a second request of a gateway waits a quarter of its aim and is refused, whatever its caller has left; callers return at a time that tells nothing. Each response looks at every queued request of its service. Change: Where an equal part of a target is below two places, a request waits up to a third of its time left, or is refused at once if it is not expected to get a place by then; requests that can still meet their aim go first within a priority; Retry-After follows the estimate, spread, at most a third of the time left. Queued requests are indexed by the owner whose full slots keep them waiting. The Dispatcher and the exchange hand over parts to classes of their own.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
@@ -128,6 +128,17 @@
     return done ? List.of() : end(reason);
   }
 
+  /**
+   * Handles places that are scarce and of which none is expected to be free in time.
+   *
+   * @param reason the reason, for the log; not null
+   * @param retryAfterMs delay after which a retry is likely to get one; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onNoPlace(String reason, long retryAfterMs) {
+    return done ? List.of() : end(reason, retryAfterMs);
+  }
+
   /**
    * Handles the quarantine of the request, after targets crashed during requests like this one: it
    * is sent to no further target.
--- /dev/null
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/sharing/ScarcePlacesTest.java
@@ -0,0 +1,22 @@
+package io.cuminvalve.core.sharing;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class ScarcePlacesTest {
+
+  @Test
+  void placesAreScarceBelowTwoForEachGateway() {
+    assertThat(ScarcePlaces.isScarce(3, 9)).isFalse();
+    assertThat(ScarcePlaces.isScarce(3, 10)).isTrue();
+    assertThat(ScarcePlaces.isScarce(3, 60)).isTrue();
+  }
+
+  @Test
+  void smallDeploymentsHaveEnough() {
+    assertThat(ScarcePlaces.isScarce(4, 8)).isFalse();
+    assertThat(ScarcePlaces.isScarce(4, 12)).isFalse();
+    assertThat(ScarcePlaces.isScarce(1, 1)).isFalse();
+  }
+}
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -138,6 +138,10 @@
         () -> state.current().keysWithoutLease());
     metricsPage.addGauge(
         "cuminvalve_gateways", "Gateways that run.", () -> state.current().processes());
+    metricsPage.addGauge(
+        "cuminvalve_wait_estimate_seconds",
+        "Estimated wait of the request that was estimated last for places that are scarce.",
+        () -> server.reports().waitEstimateMs() / MS_PER_SECOND);
     metricsPage.addGauge(
         "cuminvalve_holds_term",
         "1 if this process holds the term, else 0.",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/MetricsPage.java
@@ -78,6 +78,12 @@
     all.metricSnapshot(
         counter(
             "cuminvalve_given_up", "Requests given up, by reason.", "reason", requests.givenUp()));
+    all.metricSnapshot(
+        counter(
+            "cuminvalve_served_past_aim",
+            "Requests served later than their latency objective, by service.",
+            "service",
+            requests.servedPastAim()));
     all.metricSnapshot(
         counter(
             "cuminvalve_forwarded",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/observe/RequestMetrics.java
@@ -30,6 +30,7 @@
   private final Map<String, RouteCounts> byRoute = new ConcurrentHashMap<>();
   private final RouteCounts sent = new RouteCounts();
   private final Map<String, LongAdder> refusals = new ConcurrentHashMap<>();
+  private final Map<String, LongAdder> servedPastAim = new ConcurrentHashMap<>();
   private final Map<String, LongAdder> forwarded = new ConcurrentHashMap<>();
   private final Map<String, LongAdder> relayed = new ConcurrentHashMap<>();
 
@@ -72,6 +73,24 @@
     refusals.computeIfAbsent(reason, name -> new LongAdder()).increment();
   }
 
+  /**
+   * Counts a request that was served later than its latency objective.
+   *
+   * @param service the service that served it; not null
+   */
+  public void onServedPastAim(String service) {
+    servedPastAim.computeIfAbsent(service, name -> new LongAdder()).increment();
+  }
+
+  /**
+   * Returns the number of requests served later than their latency objective by service.
+   *
+   * @return never null
+   */
+  Map<String, LongAdder> servedPastAim() {
+    return servedPastAim;
+  }
+
   /**
    * Counts an attempt to have a peer send a request.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -1,8 +1,10 @@
 package io.cuminvalve.gateway.traffic;
 
+import io.cuminvalve.core.exchange.ExchangeProfile;
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.waiting.RequestTimes;
 import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.router.caller.CallerEndPoint;
 import java.util.Locale;
@@ -50,6 +52,28 @@
     UpperTime deadline,
     long configurationVersion) {
 
+  /** Returns the properties that determine how the request is handled. */
+  ExchangeProfile profile() {
+    return new ExchangeProfile(
+        route.idempotent(),
+        key.isPresent(),
+        Math.min(
+            route.maxAttempts(), relayed().map(RelayedRequest::maxRuns).orElse(Integer.MAX_VALUE)),
+        route.targetLatencyMs(),
+        arrivedMs,
+        deadlineMs);
+  }
+
+  /** Returns the number of targets on which it may have run before a peer forwarded it. */
+  int earlierRuns() {
+    return relayed().map(RelayedRequest::earlierRuns).orElse(0);
+  }
+
+  /** Returns the times by which a response is of use. */
+  RequestTimes times() {
+    return new RequestTimes(arrivedMs + route.targetLatencyMs(), deadlineMs);
+  }
+
   /** Calls back once if the caller closes its connection before the response. */
   void watchCaller(Runnable onGone) {
     request.addFailureListener(failure -> onGone.run());
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/Dispatcher.java
@@ -5,19 +5,15 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.lease.RangeRoute;
-import io.cuminvalve.core.protocol.TargetLatency;
 import io.cuminvalve.core.protocol.TargetLatencyReport;
 import io.cuminvalve.kernel.MillisClock;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Predicate;
@@ -26,18 +22,14 @@
 /**
  * Assigns requests to slots of targets and queues those for which no slot is free.
  *
- * <p>Some targets never respond to requests that do not fit into their queue, so all gateways
- * together must not overfill it: each gateway starts with an equal share of the target's capacity.
- * Queued requests are served by priority, then in order of arrival. A keyed request goes only to
- * the owner of its key; a request without a key goes to the target with the lowest expected cost.
+ * <p>Queued requests are served by priority, then in the order of {@link SlotWaits}. A keyed
+ * request goes only to the owner of its key; a request without a key goes to the target with the
+ * lowest expected cost.
  *
  * @since 0.2
  */
 final class Dispatcher {
 
-  /** In-flight requests allowed at a target by all gateways together, per slot of the target. */
-  private static final int REQUESTS_PER_SLOT = 6;
-
   /**
    * Cost factor of a target in another data centre, for a small request. It keeps requests in the
    * local data centre as long as nothing else favours the remote target.
@@ -55,23 +47,6 @@
   /** Random share added to each cost, so that gateways do not all choose the same target. */
   private static final double COST_JITTER = 0.2;
 
-  /** Shortest retry delay for a caller whose request has a key that cannot move. */
-  private static final long MIN_STUCK_RETRY_MS = 500;
-
-  private static final long MAX_STUCK_RETRY_MS = 5_000;
-
-  /** Retry delay while all targets of a service are in evacuated data centres. */
-  private static final long EVACUATED_RETRY_MS = 1_000;
-
-  /** Retry delay while this gateway has no path to the targets of a service. */
-  private static final long UNREACHABLE_RETRY_MS = 500;
-
-  /** Requests wait for the end of a back-off of at most this length instead of being refused. */
-  private static final long SHORT_BACKOFF_MS = 50;
-
-  /** Weight of the newest response in the moving averages of a route. */
-  private static final double EWMA_WEIGHT = 0.05;
-
   private final RoutingState state;
   private final DataCentreId dataCentre;
   private final MillisClock clock;
@@ -79,10 +54,13 @@
   private final TargetQuotas quotas;
   private final TargetBackoffs backoffs;
   private final Predicate<FleetTarget> isReachable;
-  private final Map<TargetId, TargetSlots> slotsByTarget = new HashMap<>();
-  private final Map<ServiceId, PriorityQueue<SlotRequest>> waiting = new HashMap<>();
-  private final Map<String, Double> meanTimeMsByRoute = new HashMap<>();
-  private final Map<String, Double> meanResponseBytesByRoute = new HashMap<>();
+  private final OwnerLookup owners;
+  private final RefusalRules refusals;
+  private final SlotTable slotTable = new SlotTable();
+  private final RouteStatistics routes = new RouteStatistics();
+  private final WaitingRequests waiting = new WaitingRequests();
+  private final SlotWaits waits;
+  private final OutcomeRecorder outcomes;
   private final Set<ServiceId> statingOccupancy = ConcurrentHashMap.newKeySet();
   private final Set<TargetId> replaced = new HashSet<>();
   private final List<TargetId> unreportedReplaced = new ArrayList<>();
@@ -103,6 +81,10 @@
     this.quotas = quotas;
     this.backoffs = backoffs;
     this.isReachable = isReachable;
+    this.owners = new OwnerLookup(state, clock);
+    this.refusals = new RefusalRules(state, clock, owners, quotas, backoffs, isReachable);
+    this.outcomes = new OutcomeRecorder(clock, routes, isReachable);
+    this.waits = new SlotWaits(clock, random, owners, slotTable, routes, waiting);
     state.onChange(this::onRoutingChanged);
     quotas.onUsable(this::dispatchWaiting);
     backoffs.onEnd(this::dispatchWaiting);
@@ -117,10 +99,10 @@
       request.setOrder(nextOrder++);
       slot = tryAssign(request, snapshot);
       if (slot.isEmpty()) {
-        refusal = refusalOf(request, snapshot);
+        refusal = refusals.refusalOf(request, snapshot).or(() -> waits.begin(request, snapshot));
       }
       if (slot.isEmpty() && refusal.isEmpty()) {
-        waiting.computeIfAbsent(request.service(), id -> newQueue()).add(request);
+        waiting.put(request, fullOwnerOf(request, snapshot));
       }
     }
     slot.ifPresent(request::placed);
@@ -143,12 +125,7 @@
       return false;
     }
     int refusedPercent =
-        state
-            .current()
-            .owners(request.service())
-            .flatMap(owners -> owners.find(request.key().getAsInt()))
-            .map(RangeRoute::refusedPercent)
-            .orElse(0);
+        owners.findRange(request, state.current()).map(RangeRoute::refusedPercent).orElse(0);
     synchronized (this) {
       return refusedPercent > 0 && random.nextInt(100) < refusedPercent;
     }
@@ -156,32 +133,37 @@
 
   /** Removes a request from the queue. Returns whether it was queued. */
   synchronized boolean withdraw(SlotRequest request) {
-    PriorityQueue<SlotRequest> queue = waiting.get(request.service());
-    return queue != null && queue.remove(request);
+    return waiting.remove(request);
   }
 
   /** Returns why a queued request has no slot yet, for the log. */
   synchronized String waitReason(SlotRequest request) {
-    RoutingSnapshot snapshot = state.current();
-    if (request.key().isEmpty()) {
-      return snapshot.ready(request.service()).isEmpty() ? "no_target" : "targets_busy";
-    }
-    Optional<RangeRoute> range =
-        snapshot.owners(request.service()).flatMap(owners -> owners.find(request.key().getAsInt()));
-    if (range.isEmpty()) {
-      return "owner_unknown";
-    }
-    if (!range.get().open()) {
-      return "key_on_the_move";
-    }
-    if (backoffs.remainingMs(range.get().owner()) > 0) {
-      return "owner_resting";
-    }
-    if (quotas.isLimited(range.get().owner())) {
-      return "limit_unanswered";
-    }
-    boolean usable = snapshot.target(range.get().owner()).filter(this::isUsableOwner).isPresent();
-    return usable ? "owner_busy" : "owner_leaving";
+    return refusals.waitReason(request, state.current());
+  }
+
+  /**
+   * Returns how long a queued request waits on before the next review; empty if it is to be
+   * withdrawn, as it always is where places are not scarce.
+   */
+  synchronized OptionalLong reviewWait(SlotRequest request) {
+    return waiting.contains(request)
+        ? waits.review(request, state.current())
+        : OptionalLong.empty();
+  }
+
+  /** Returns when a caller refused for want of a scarce place should return; empty otherwise. */
+  synchronized OptionalLong retryAfterMs(SlotRequest request) {
+    return waits.retryAfterMs(request, state.current());
+  }
+
+  /** Returns whether a request is queued. */
+  synchronized boolean isWaiting(SlotRequest request) {
+    return waiting.contains(request);
+  }
+
+  /** Returns the estimated wait of the request that was estimated last; milliseconds. */
+  long latestEstimateMs() {
+    return waits.latestEstimateMs();
   }
 
   /** Frees a slot and updates the statistics with the outcome of the attempt. */
@@ -189,10 +171,10 @@
     synchronized (this) {
       TargetSlots slots = slotsOf(slot.target(), state.current());
       slots.release();
-      recordOutcome(slot.target(), slots, request.route().name(), outcome, tookMs);
-      recordResponseSize(request);
+      outcomes.record(slot.target(), slots, request.route().name(), outcome, tookMs);
+      routes.recordResponseSize(request);
     }
-    dispatchWaiting(slot.target().service());
+    dispatchFreed(slot.target());
   }
 
   /** Resets the concurrency limit of a target that asked for a back-off to one request. */
@@ -227,45 +209,14 @@
 
   /** Returns the mean response time of a route over all targets, in milliseconds. */
   synchronized long meanTimeMs(String route) {
-    return meanTimeMsByRoute.getOrDefault(route, 0.0).longValue();
-  }
-
-  private void recordOutcome(
-      FleetTarget target, TargetSlots slots, String route, AttemptOutcome outcome, long tookMs) {
-    switch (outcome) {
-      case ANSWERED -> {
-        double mean = meanTimeMsByRoute.getOrDefault(route, Math.max(1.0, tookMs));
-        slots.onResponse(tookMs / mean);
-        meanTimeMsByRoute.put(route, Math.max(1.0, mean + EWMA_WEIGHT * (tookMs - mean)));
-      }
-      case FAILED -> slots.onFailedResponse();
-      case NO_ANSWER -> {
-        if (isReachable.test(target)) {
-          slots.onNoResponse(clock.nowMs());
-        }
-      }
-      default -> {
-        // An abandoned attempt says nothing about the target.
-      }
-    }
-  }
-
-  private void recordResponseSize(SlotRequest request) {
-    request
-        .responseBytes()
-        .ifPresent(
-            bytes ->
-                meanResponseBytesByRoute.merge(
-                    request.route().name(),
-                    (double) bytes,
-                    (mean, newest) -> mean + EWMA_WEIGHT * (newest - mean)));
+    return (long) routes.meanTimeMs(route);
   }
 
   private void onRoutingChanged() {
     synchronized (this) {
       Predicate<TargetId> isGone = id -> state.current().target(id).isEmpty();
       replaced.removeIf(isGone);
-      slotsByTarget.entrySet().removeIf(e -> e.getValue().inUse() == 0 && isGone.test(e.getKey()));
+      slotTable.removeUnused(isGone);
     }
     dispatchWaiting();
   }
@@ -274,46 +225,76 @@
   void dispatchWaiting() {
     List<ServiceId> services;
     synchronized (this) {
-      services = List.copyOf(waiting.keySet());
+      services = waiting.services();
     }
     services.forEach(this::dispatchWaiting);
   }
 
   /** Tries again to assign slots to the queued requests of a service. */
   void dispatchWaiting(ServiceId service) {
+    dispatch(service, Optional.empty());
+  }
+
+  /** Tries again to assign slots to the queued requests that a free slot of a target may serve. */
+  private void dispatchFreed(FleetTarget freed) {
+    dispatch(freed.service(), Optional.of(freed.id()));
+  }
+
+  private void dispatch(ServiceId service, Optional<TargetId> freed) {
     Map<SlotRequest, Slot> placed = new HashMap<>();
     Map<SlotRequest, TargetRefusal> refused = new HashMap<>();
     synchronized (this) {
-      PriorityQueue<SlotRequest> queue = waiting.get(service);
-      if (queue == null || queue.isEmpty()) {
+      List<SlotRequest> candidates =
+          freed.isPresent() ? waiting.affectedBy(service, freed.get()) : waiting.all(service);
+      if (candidates.isEmpty()) {
         return;
       }
-      dispatchQueue(queue, placed, refused);
+      RoutingSnapshot snapshot = state.current();
+      candidates.sort(waits.order(service, snapshot));
+      dispatchInOrder(candidates, freed, snapshot, placed, refused);
     }
     placed.forEach(SlotRequest::placed);
     refused.forEach(SlotRequest::refused);
   }
 
-  private void dispatchQueue(
-      PriorityQueue<SlotRequest> queue,
+  private void dispatchInOrder(
+      List<SlotRequest> candidates,
+      Optional<TargetId> freed,
+      RoutingSnapshot snapshot,
       Map<SlotRequest, Slot> placed,
       Map<SlotRequest, TargetRefusal> refused) {
-    RoutingSnapshot snapshot = state.current();
-    List<SlotRequest> left = new ArrayList<>();
-    while (!queue.isEmpty()) {
-      SlotRequest request = queue.poll();
+    boolean fullAgain = false;
+    for (SlotRequest request : candidates) {
+      if (fullAgain && waiting.fullOwner(request).equals(freed)) {
+        continue;
+      }
       Optional<Slot> slot = tryAssign(request, snapshot);
       Optional<TargetRefusal> refusal =
-          slot.isPresent() ? Optional.empty() : refusalOf(request, snapshot);
+          slot.isPresent() ? Optional.empty() : refusals.refusalOf(request, snapshot);
       if (slot.isPresent()) {
+        waiting.remove(request);
         placed.put(request, slot.get());
       } else if (refusal.isPresent()) {
+        waiting.remove(request);
         refused.put(request, refusal.get());
       } else {
-        left.add(request);
+        Optional<TargetId> fullOwner = fullOwnerOf(request, snapshot);
+        waiting.put(request, fullOwner);
+        // Limits that targets name may refuse one priority only, so all requests are looked at.
+        fullAgain |= freed.isPresent() && fullOwner.equals(freed) && !quotas.isLimited(freed.get());
       }
     }
-    queue.addAll(left);
+  }
+
+  /** Returns the owner of the key of a request if all slots there are in use. */
+  private Optional<TargetId> fullOwnerOf(SlotRequest request, RoutingSnapshot snapshot) {
+    if (request.key().isEmpty() || !request.accepts(snapshot.ownersVersion())) {
+      return Optional.empty();
+    }
+    return owners
+        .findReady(request, snapshot)
+        .filter(owner -> !slotsOf(owner, snapshot).hasFreeSlot())
+        .map(FleetTarget::id);
   }
 
   private Optional<Slot> tryAssign(SlotRequest request, RoutingSnapshot snapshot) {
@@ -333,98 +314,12 @@
     if (!request.accepts(snapshot.ownersVersion())) {
       return Optional.empty();
     }
-    return findReadyOwner(request, snapshot)
+    return owners
+        .findReady(request, snapshot)
         .filter(target -> canAccept(target, snapshot))
         .filter(target -> quotas.take(target, request.route().priority()));
   }
 
-  private Optional<FleetTarget> findReadyOwner(SlotRequest request, RoutingSnapshot snapshot) {
-    return snapshot
-        .owners(request.service())
-        .flatMap(owners -> owners.find(request.key().getAsInt()))
-        .filter(RangeRoute::open)
-        .flatMap(range -> snapshot.target(range.owner()))
-        .filter(this::isUsableOwner);
-  }
-
-  private boolean isUsableOwner(FleetTarget owner) {
-    return owner.isReady() && state.isDataCentreOpen(owner, true, clock::upper);
-  }
-
-  /**
-   * Returns a refusal if no target that may run the request is expected to accept it in time,
-   * naming the target that accepts requests again first.
-   */
-  private Optional<TargetRefusal> refusalOf(SlotRequest request, RoutingSnapshot snapshot) {
-    List<FleetTarget> targets =
-        request.key().isPresent()
-            ? findReadyOwner(request, snapshot).stream().toList()
-            : untriedTargets(request, snapshot);
-    if (targets.isEmpty()) {
-      return snapshot
-          .firstOfEvacuatedService(request.service())
-          .map(target -> TargetRefusal.forEvacuation(target.id(), EVACUATED_RETRY_MS))
-          .or(() -> refusalOfStuckKey(request, snapshot));
-    }
-    if (targets.stream().noneMatch(isReachable)) {
-      return Optional.of(TargetRefusal.forUnreachable(targets.get(0).id(), UNREACHABLE_RETRY_MS));
-    }
-    int priority = request.route().priority();
-    FleetTarget first = null;
-    long firstMs = Long.MAX_VALUE;
-    for (FleetTarget target : targets) {
-      if (!isReachable.test(target)) {
-        continue;
-      }
-      long refusedForMs = refusedForMs(target.id(), priority);
-      if (refusedForMs == 0) {
-        return Optional.empty();
-      }
-      if (refusedForMs < firstMs) {
-        first = target;
-        firstMs = refusedForMs;
-      }
-    }
-    return Optional.ofNullable(first).map(target -> refuse(target.id(), priority));
-  }
-
-  /**
-   * Refuses a request whose key cannot move while the store is unavailable. The retry delay grows
-   * with the length of the outage, since its end is unknown.
-   */
-  private Optional<TargetRefusal> refusalOfStuckKey(SlotRequest request, RoutingSnapshot snapshot) {
-    OptionalLong blockedSinceMs = state.movesBlockedSinceMs();
-    if (request.key().isEmpty() || blockedSinceMs.isEmpty()) {
-      return Optional.empty();
-    }
-    long blockedMs = clock.nowMs() - blockedSinceMs.getAsLong();
-    long retryAfterMs = Math.max(MIN_STUCK_RETRY_MS, Math.min(MAX_STUCK_RETRY_MS, blockedMs));
-    return snapshot
-        .owners(request.service())
-        .flatMap(owners -> owners.find(request.key().getAsInt()))
-        .map(range -> TargetRefusal.forStuckKey(range.owner(), retryAfterMs));
-  }
-
-  private long refusedForMs(TargetId target, int priority) {
-    long backoffMs = backoffs.remainingMs(target);
-    return Math.max(
-        backoffMs > SHORT_BACKOFF_MS ? backoffMs : 0,
-        quotas.refusedForMs(target, priority).orElse(0));
-  }
-
-  private TargetRefusal refuse(TargetId target, int priority) {
-    long backoffMs = backoffs.remainingMs(target);
-    return backoffMs > SHORT_BACKOFF_MS
-        ? TargetRefusal.forBackoff(target, backoffMs)
-        : quotas.refuse(target, priority);
-  }
-
-  private static List<FleetTarget> untriedTargets(SlotRequest request, RoutingSnapshot snapshot) {
-    List<FleetTarget> ready = snapshot.ready(request.service());
-    List<FleetTarget> left = ready.stream().filter(t -> !request.tried().contains(t.id())).toList();
-    return left.isEmpty() ? ready : left;
-  }
-
   private Optional<FleetTarget> findBest(SlotRequest request, RoutingSnapshot snapshot) {
     Set<TargetId> excluded = new HashSet<>(excludedTargets(request, snapshot));
     int priority = request.route().priority();
@@ -458,7 +353,7 @@
   }
 
   private double remoteCost(SlotRequest request) {
-    double responseBytes = meanResponseBytesByRoute.getOrDefault(request.route().name(), 0.0);
+    double responseBytes = routes.meanResponseBytes(request.route().name());
     return REMOTE_COST_FACTOR + (request.bodyBytes() + responseBytes) / REMOTE_BYTES_PER_COST_UNIT;
   }
 
@@ -487,36 +382,16 @@
   }
 
   private TargetSlots slotsOf(FleetTarget target, RoutingSnapshot snapshot) {
-    TargetSlots known = slotsByTarget.get(target.id());
-    if (known != null) {
-      return known;
-    }
-    double fleetCapacity = (double) target.slots() * REQUESTS_PER_SLOT;
-    double equalShare = Math.max(1, Math.rint(fleetCapacity / snapshot.processes()));
-    TargetSlots created = new TargetSlots(equalShare, target.slots());
-    slotsByTarget.put(target.id(), created);
-    return created;
+    return slotTable.of(target, snapshot);
   }
 
   /** Returns the relative response times of targets measured since the last call. */
   synchronized TargetLatencyReport takeLatencies() {
-    List<TargetLatency> latencies = new ArrayList<>();
-    slotsByTarget.forEach((id, slots) -> slots.takeLatency(id).ifPresent(latencies::add));
-    return new TargetLatencyReport(latencies);
+    return slotTable.takeLatencies();
   }
 
   /** Returns the number of queued requests. */
   synchronized int waitingCount() {
-    int count = 0;
-    for (Iterator<PriorityQueue<SlotRequest>> i = waiting.values().iterator(); i.hasNext(); ) {
-      count += i.next().size();
-    }
-    return count;
-  }
-
-  private static PriorityQueue<SlotRequest> newQueue() {
-    return new PriorityQueue<>(
-        Comparator.comparingInt((SlotRequest request) -> request.route().priority())
-            .thenComparingLong(SlotRequest::order));
+    return waiting.size();
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -1,10 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.exchange.ExchangeEffect;
-import io.cuminvalve.core.exchange.ExchangeProfile;
 import io.cuminvalve.core.exchange.ExchangeStateMachine;
-import io.cuminvalve.core.route.Route;
-import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.send.SendCondition;
 import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.gateway.observe.RequestOutcome;
@@ -13,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.util.Callback;
@@ -31,6 +29,7 @@
   private final SlotRequest slotRequest;
   private final ExchangeStateMachine machine;
   private final PeerForwarding forwarding;
+  private final ExchangeLog decisions;
   private final Runnable onEnded;
   private final Map<String, Integer> attemptsByAddress = new HashMap<>();
 
@@ -46,29 +45,14 @@
     this.call = call;
     this.onEnded = onEnded;
     this.slotRequest =
-        new SlotRequest(call.route(), call.service(), call.key(), call.body().length(), this);
+        new SlotRequest(
+            call.route(), call.service(), call.key(), call.body().length(), call.times(), this);
     this.machine =
-        new ExchangeStateMachine(profileOf(call), this::tryTakeRetryBudget, earlierRuns(call));
+        new ExchangeStateMachine(call.profile(), this::tryTakeRetryBudget, call.earlierRuns());
+    this.decisions = new ExchangeLog(services, call, machine);
     this.forwarding = new PeerForwarding(services, call, machine, this);
   }
 
-  private static ExchangeProfile profileOf(CallerRequest call) {
-    Route route = call.route();
-    return new ExchangeProfile(
-        route.idempotent(),
-        call.key().isPresent(),
-        Math.min(
-            route.maxAttempts(),
-            call.relayed().map(RelayedRequest::maxRuns).orElse(Integer.MAX_VALUE)),
-        route.targetLatencyMs(),
-        call.arrivedMs(),
-        call.deadlineMs());
-  }
-
-  private static int earlierRuns(CallerRequest call) {
-    return call.relayed().map(RelayedRequest::earlierRuns).orElse(0);
-  }
-
   void start() {
     if (call.relayed().isEmpty()) {
       services.budgets().onRequest(call.service());
@@ -107,43 +91,33 @@
     }
     switch (refusal.cause()) {
       case REST -> {
-        logRefusal("request_held_off", refusal, "");
+        decisions.logRefusal("request_held_off", refusal, "");
         decide(() -> machine.onTargetBackingOff(refusal.retryAfterMs()));
       }
       case STUCK_KEY -> {
-        logRefusal("request_key_stuck", refusal, "");
+        decisions.logRefusal("request_key_stuck", refusal, "");
         decide(() -> machine.onStuckKey(refusal.retryAfterMs()));
       }
       case EVACUATED -> {
-        logRefusal("request_evacuated", refusal, "");
+        decisions.logRefusal("request_evacuated", refusal, "");
         decide(() -> machine.onServiceEvacuated(refusal.retryAfterMs()));
       }
+      case HOPELESS_WAIT -> {
+        decisions.logRefusal("request_hopeless", refusal, " wait_ms=" + refusal.waitMs());
+        decide(() -> machine.onNoPlace("wait_hopeless", refusal.retryAfterMs()));
+      }
       case UNREACHABLE -> {
-        logRefusal("request_unreachable", refusal, "");
+        decisions.logRefusal("request_unreachable", refusal, "");
         long nowMs = services.clock().nowMs();
         decide(() -> machine.onUnreachable(forwarding.isPossible(), refusal.retryAfterMs(), nowMs));
       }
       default -> {
-        logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
+        decisions.logRefusal("request_limited", refusal, " limit_per_s=" + refusal.limitPerS());
         decide(() -> machine.onLimited(refusal.retryAfterMs()));
       }
     }
   }
 
-  private void logRefusal(String event, TargetRefusal refusal, String limit) {
-    services
-        .log()
-        .write(
-            event,
-            "id={} service={} key={} target={}{} retry_after_ms={}",
-            call.attemptId(),
-            call.service(),
-            call.key().isPresent() ? call.key().getAsInt() : "-",
-            refusal.target(),
-            limit,
-            refusal.retryAfterMs());
-  }
-
   private long quarantinedForMs() {
     return services.quarantine().refusedForMs(call.identity(), machine.runs());
   }
@@ -160,10 +134,22 @@
   }
 
   private void onSlotWaitTimeout() {
-    if (services.dispatcher().withdraw(slotRequest)) {
+    OptionalLong moreMs = services.dispatcher().reviewWait(slotRequest);
+    if (moreMs.isPresent()) {
+      Cancellable review = services.timers().schedule(this::onSlotWaitTimeout, moreMs.getAsLong());
+      slotWaitTimer = review;
+      if (!services.dispatcher().isWaiting(slotRequest)) {
+        review.cancel();
+      }
+    } else if (services.dispatcher().withdraw(slotRequest)) {
       recordUnservedLoad();
       String reason = services.dispatcher().waitReason(slotRequest);
-      decide(() -> machine.onNoSlot(reason));
+      OptionalLong retryAfterMs = services.dispatcher().retryAfterMs(slotRequest);
+      decide(
+          () ->
+              retryAfterMs.isPresent()
+                  ? machine.onNoPlace(reason, retryAfterMs.getAsLong())
+                  : machine.onNoSlot(reason));
     }
   }
 
@@ -177,18 +163,18 @@
   @Override
   public void onNotExecuted(TargetAttempt attempt, int status) {
     decide(() -> machine.onNotExecuted(services.clock().nowMs()));
-    log("request_refused_by_target", attempt, "status_" + status);
+    decisions.log("request_refused_by_target", attempt, "status_" + status);
   }
 
   @Override
   public void onFailure(TargetAttempt attempt, boolean mayHaveRunThere, String reason) {
     decide(() -> machine.onFailure(mayHaveRunThere, reason, services.clock().nowMs()));
-    log("attempt_failed", attempt, reason);
+    decisions.log("attempt_failed", attempt, reason);
   }
 
   @Override
   public void onStopped(TargetAttempt attempt, SendObstacle obstacle) {
-    log("send_stopped", attempt, obstacle.label());
+    decisions.log("send_stopped", attempt, obstacle.label());
     switch (obstacle.condition()) {
       case CALLER_PRESENT -> onCallerGone();
       case TIME_LEFT -> decide(() -> machine.onDeadline(false));
@@ -265,7 +251,7 @@
     } else if (effect instanceof ExchangeEffect.ReturnSlot) {
       services.dispatcher().release(slot, slotRequest, AttemptOutcome.GIVEN_UP, 0);
     } else if (effect instanceof ExchangeEffect.AvoidTarget) {
-      log("request_repeated", currentAttempt, "elsewhere");
+      decisions.log("request_repeated", currentAttempt, "elsewhere");
       slotRequest.tried().add(currentAttempt.target().id());
     } else if (effect instanceof ExchangeEffect.AwaitNewerOwners pause) {
       slotRequest.avoidCurrentOwners();
@@ -332,7 +318,7 @@
       respond(status, 0, giveUp.reason());
     } else {
       count(RequestOutcome.CALLER_GONE);
-      log("caller_gone", currentAttempt, "closed");
+      decisions.log("caller_gone", currentAttempt, "closed");
       Callback.from(onEnded, call.callback()).failed(new CallerGoneException());
     }
   }
@@ -341,8 +327,11 @@
     TargetAnswerBody complete = response;
     relayed = complete;
     count(failed ? RequestOutcome.FAILED_AT_TARGET : RequestOutcome.ANSWERED);
+    if (!failed && services.clock().nowMs() > slotRequest.times().aimMs()) {
+      services.metrics().onServedPastAim(call.service().value());
+    }
     String event = failed ? "request_failed_at_target" : "request_served";
-    log(event, currentAttempt, "status_" + complete.status());
+    decisions.log(event, currentAttempt, "status_" + complete.status());
     forwarding.addCounts();
     CallerResponseWriter.relay(
         call.response(),
@@ -356,7 +345,7 @@
   private void respond(int status, long retryAfterMs, String reason) {
     count(outcomeOf(status));
     services.metrics().onGivenUp(reason);
-    log("request_given_up", currentAttempt, "status=" + status + " reason=" + reason);
+    decisions.log("request_given_up", currentAttempt, "status=" + status + " reason=" + reason);
     forwarding.addCounts();
     CallerResponseWriter.writeEmpty(
         call.response(),
@@ -397,31 +386,6 @@
     services.metrics().onEnded(call.route().name(), outcome, tookMs);
   }
 
-  /** Logs a decision together with the versions and age of the state that it is based on. */
-  private void log(String event, TargetAttempt attempt, String why) {
-    long nowMs = services.clock().nowMs();
-    RoutingSnapshot known = services.state().current();
-    services
-        .log()
-        .write(
-            event,
-            "id={} fingerprint={} route={} service={} key={} target={} runs={} refusals={}"
-                + " age_ms={} config={} owners={} targets_age_ms={} why={}",
-            call.attemptId(),
-            call.identity(),
-            call.route().name(),
-            call.service(),
-            call.key().isPresent() ? call.key().getAsInt() : "-",
-            attempt == null ? "-" : attempt.target().id(),
-            machine.runs(),
-            machine.refusals(),
-            nowMs - call.arrivedMs(),
-            known.configuration().map(RoutingConfiguration::version).orElse(0L),
-            known.ownersVersion(),
-            services.clock().upper().sinceMs(services.state().targetsConfirmed()),
-            why);
-  }
-
   /** A response of a target, buffered completely. */
   private record TargetAnswerBody(int status, HttpFields headers, BufferedBody body) {}
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SlotRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/SlotRequest.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.waiting.RequestTimes;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -25,18 +26,27 @@
   private final ServiceId service;
   private final OptionalInt key;
   private final int bodyBytes;
+  private final RequestTimes times;
   private final Listener listener;
   private final Set<TargetId> tried = new HashSet<>();
   private long order;
+  private long waitUntilMs;
   private volatile OptionalInt responseBytes = OptionalInt.empty();
   private OwnersVersion assignedUnder = OwnersVersion.NONE;
   private Optional<OwnersVersion> avoided = Optional.empty();
 
-  SlotRequest(Route route, ServiceId service, OptionalInt key, int bodyBytes, Listener listener) {
+  SlotRequest(
+      Route route,
+      ServiceId service,
+      OptionalInt key,
+      int bodyBytes,
+      RequestTimes times,
+      Listener listener) {
     this.route = route;
     this.service = service;
     this.key = key;
     this.bodyBytes = bodyBytes;
+    this.times = times;
     this.listener = listener;
   }
 
@@ -67,6 +77,20 @@
     return responseBytes;
   }
 
+  /** Returns the times by which a response is of use. */
+  RequestTimes times() {
+    return times;
+  }
+
+  /** Returns the time until which the request may wait for a scarce place; milliseconds. */
+  long waitUntilMs() {
+    return waitUntilMs;
+  }
+
+  void waitUntil(long untilMs) {
+    waitUntilMs = untilMs;
+  }
+
   Set<TargetId> tried() {
     return tried;
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetRefusal.java
@@ -8,9 +8,11 @@
  * @param target the target that accepts requests again first; not null
  * @param cause why it accepts none; not null
  * @param limitPerS its limit in requests per second; 0 unless the cause is the limit
+ * @param waitMs the estimated wait in milliseconds; 0 unless the cause is a hopeless wait
  * @param retryAfterMs the retry delay for the caller in milliseconds
  */
-record TargetRefusal(TargetId target, Cause cause, double limitPerS, long retryAfterMs) {
+record TargetRefusal(
+    TargetId target, Cause cause, double limitPerS, long waitMs, long retryAfterMs) {
 
   /** Why a target accepts no more requests. */
   enum Cause {
@@ -23,26 +25,32 @@
     /** All targets of the service are in evacuated data centres. */
     EVACUATED,
     /** This gateway has no path to any target that may run the request. */
-    UNREACHABLE
+    UNREACHABLE,
+    /** Its places are scarce, and none is expected to be free while the caller can wait. */
+    HOPELESS_WAIT
+  }
+
+  static TargetRefusal forHopelessWait(TargetId target, long waitMs, long retryAfterMs) {
+    return new TargetRefusal(target, Cause.HOPELESS_WAIT, 0, waitMs, retryAfterMs);
   }
 
   static TargetRefusal forUnreachable(TargetId target, long retryAfterMs) {
-    return new TargetRefusal(target, Cause.UNREACHABLE, 0, retryAfterMs);
+    return new TargetRefusal(target, Cause.UNREACHABLE, 0, 0, retryAfterMs);
   }
 
   static TargetRefusal forEvacuation(TargetId target, long retryAfterMs) {
-    return new TargetRefusal(target, Cause.EVACUATED, 0, retryAfterMs);
+    return new TargetRefusal(target, Cause.EVACUATED, 0, 0, retryAfterMs);
   }
 
   static TargetRefusal forLimit(TargetId target, double limitPerS, long retryAfterMs) {
-    return new TargetRefusal(target, Cause.LIMIT, limitPerS, retryAfterMs);
+    return new TargetRefusal(target, Cause.LIMIT, limitPerS, 0, retryAfterMs);
   }
 
   static TargetRefusal forStuckKey(TargetId target, long retryAfterMs) {
-    return new TargetRefusal(target, Cause.STUCK_KEY, 0, retryAfterMs);
+    return new TargetRefusal(target, Cause.STUCK_KEY, 0, 0, retryAfterMs);
   }
 
   static TargetRefusal forBackoff(TargetId target, long retryAfterMs) {
-    return new TargetRefusal(target, Cause.REST, 0, retryAfterMs);
+    return new TargetRefusal(target, Cause.REST, 0, 0, retryAfterMs);
   }
 }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetSlots.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetSlots.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.protocol.TargetLatency;
+import io.cuminvalve.core.waiting.CompletionPace;
 import java.util.Optional;
 
 /**
@@ -29,6 +30,7 @@
   private static final double SLOW_RESPONSE_RATIO = 2.5;
 
   private final double maxLimit;
+  private final CompletionPace pace = new CompletionPace();
 
   private int inUse;
   private double relativeLatency = 1;
@@ -70,6 +72,21 @@
     return nowMs < pausedUntilMs;
   }
 
+  /** Records how long a request held its slot until the target responded or failed to. */
+  void onCompletion(long tookMs) {
+    pace.onCompletion(tookMs);
+  }
+
+  /**
+   * Returns the recent time between completions while all slots are in use, in milliseconds.
+   *
+   * @param workMs what counts for a request if none has been completed; milliseconds
+   */
+  double msPerCompletion(long workMs) {
+    double recentMs = pace.msPerCompletion((int) limit);
+    return recentMs > 0 ? recentMs : workMs / Math.max(1.0, (int) limit);
+  }
+
   /** Returns the expected time of one more request, relative to other targets. */
   double cost(int slots) {
     double queue = 1 + (double) inUse / slots;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TrafficReports.java
@@ -119,6 +119,15 @@
     return dispatcher.takeLatencies();
   }
 
+  /**
+   * Returns the estimated wait of the request that was estimated last for scarce places.
+   *
+   * @return milliseconds; 0 if none was estimated
+   */
+  public long waitEstimateMs() {
+    return dispatcher.latestEstimateMs();
+  }
+
   /**
    * Returns which targets this gateway can reach.
    *
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherTest.java
@@ -14,6 +14,7 @@
 import io.cuminvalve.core.quota.QuotaGrant;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.WeightedService;
+import io.cuminvalve.core.waiting.RequestTimes;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -347,6 +348,7 @@
         SERVICE,
         key,
         bodyBytes,
+        new RequestTimes(nowMs + 400, nowMs + 1_000),
         new SlotRequest.Listener() {
           @Override
           public void onPlaced(Slot slot) {
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -14,6 +14,7 @@
 import io.cuminvalve.core.send.SendGate;
 import io.cuminvalve.core.send.SendObstacle;
 import io.cuminvalve.core.stop.StopPolicy;
+import io.cuminvalve.core.waiting.RequestTimes;
 import io.cuminvalve.gateway.RequestHeaders;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.gateway.observe.RequestMetrics;
@@ -239,7 +240,9 @@
     private TargetRefusal refusal;
 
     Placed() {
-      slotRequest = new SlotRequest(ROUTE, SERVICE, OptionalInt.empty(), 0, this);
+      slotRequest =
+          new SlotRequest(
+              ROUTE, SERVICE, OptionalInt.empty(), 0, new RequestTimes(400, 1_000), this);
     }
 
     @Override
