Estimate the wait for a place by half an interval for the first one

Cause: The estimate took a whole interval until the first completion, so the first request of a queue was refused up to one interval before its time. Change: The first completion counts as half an interval, its mean.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/waiting/WaitEstimate.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/waiting/WaitEstimate.java
@@ -18,7 +18,7 @@
    * @return never null
    */
   public static WaitEstimate of(int ahead, double msPerCompletion, double workMs) {
-    // The completion that frees the first place is a whole interval away at most.
-    return new WaitEstimate(Math.round((ahead + 1) * msPerCompletion), Math.round(workMs));
+    // The first completion is half an interval away on average.
+    return new WaitEstimate(Math.round((ahead + 0.5) * msPerCompletion), Math.round(workMs));
   }
 }
