Hand late requests of a stopping gateway to a peer, and listen until others take over

Cause: A stopping gateway refused what its own time would not suffice for, and ended as soon as nothing was in progress, also if no other gateway of its data centre was ready. Change: StopPolicy.treat decides between sending, handing over and refusing; a request is handed over through the relay if its latency objective fits into the time left. Targets are told to end the work on requests that are sent during a stop before the gateway ends those requests, also through the relay (Cuminvalve-Relay-Work-Ms). ZoneSuccession decides from the list of ready gateways in the heartbeats who goes on listening. A gateway tells the holder at once that it stops.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/exchange/ExchangeStateMachine.java
@@ -194,6 +194,21 @@
     return mayForward(peerKnown, nowMs) ? forward() : end(UNREACHABLE, retryAfterMs);
   }
 
+  /**
+   * Handles a stop of this process, which leaves it too little time to send the request itself.
+   *
+   * @param peerKnown whether a peer is known that may send it
+   * @param reason the reason, for the log; not null
+   * @param nowMs the current time; milliseconds
+   * @return the effects to apply; never null
+   */
+  public List<ExchangeEffect> onStopping(boolean peerKnown, String reason, long nowMs) {
+    if (done) {
+      return List.of();
+    }
+    return mayForward(peerKnown, nowMs) ? forward() : end(reason);
+  }
+
   /**
    * Handles a complete answer of a target that a peer passed on.
    *
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/stop/StopPolicyTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/stop/StopPolicyTest.java
@@ -1,6 +1,9 @@
 package io.cuminvalve.core.stop;
 
 import static com.google.common.truth.Truth.assertThat;
+import static io.cuminvalve.core.stop.StopPolicy.Treatment.BEGIN;
+import static io.cuminvalve.core.stop.StopPolicy.Treatment.HAND_OVER;
+import static io.cuminvalve.core.stop.StopPolicy.Treatment.REFUSE;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import org.junit.jupiter.api.Test;
@@ -40,6 +43,24 @@
     assertThat(new StopPolicy(100, 150).requestsEndMs()).isEqualTo(100);
   }
 
+  @Test
+  void lateRequestsAreHandedOverIfThereIsTimeAndAPeer() {
+    long objectiveMs = 400;
+    long lastMs = policy.workEndMs() - objectiveMs;
+    assertThat(policy.treat(NOTICE_MS - 1, NEVER_MS, objectiveMs, true)).isEqualTo(BEGIN);
+    assertThat(policy.treat(NOTICE_MS, END_MS, objectiveMs, true)).isEqualTo(BEGIN);
+    assertThat(policy.treat(NOTICE_MS, NEVER_MS, objectiveMs, true)).isEqualTo(HAND_OVER);
+    assertThat(policy.treat(lastMs, NEVER_MS, objectiveMs, true)).isEqualTo(HAND_OVER);
+    assertThat(policy.treat(lastMs + 1, NEVER_MS, objectiveMs, true)).isEqualTo(REFUSE);
+    assertThat(policy.treat(NOTICE_MS, NEVER_MS, objectiveMs, false)).isEqualTo(REFUSE);
+  }
+
+  @Test
+  void targetsEndTheirWorkBeforeRequestsAreEnded() {
+    assertThat(policy.workEndMs()).isLessThan(policy.requestsEndMs());
+    assertThat(new StopPolicy(0, 100).workEndMs()).isEqualTo(0);
+  }
+
   @Test
   void theLimitCannotComeBeforeTheNotice() {
     assertThrows(IllegalArgumentException.class, () -> new StopPolicy(100, 99));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -2,6 +2,7 @@
 
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.core.stop.StopPolicy;
+import io.cuminvalve.core.stop.ZoneSuccession;
 import io.cuminvalve.gateway.control.FleetControl;
 import io.cuminvalve.gateway.control.StoreCircuitBreaker;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -53,6 +54,9 @@
   /** A request may be on its way on a connection that was used within this time. */
   private static final long SETTLED_MS = 1_000;
 
+  /** Two hellos of the largest fleet, so that a single loss does not matter. */
+  private static final long RELAYS_MAX_AGE_MS = 1_500;
+
   private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
@@ -68,6 +72,7 @@
   private final GatewayServer server;
   private final FleetControl fleet;
   private final StopProgress stop;
+  private ZoneSuccession succession;
 
   /**
    * Creates a gateway that is not started.
@@ -216,6 +221,7 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void stop() throws InterruptedException {
+    succession = server.succession(state.relayPeers());
     stop.begin();
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
@@ -233,12 +239,18 @@
 
   /** Waits until callers have been redirected and requests have completed, or the limit. */
   private void awaitRequests(StopPolicy policy) throws InterruptedException {
+    boolean waits = false;
     while (stop.sinceMs() < policy.requestsEndMs()) {
       if (policy.isNoticeOver(stop.sinceMs())) {
         server.closeConnectionsIdleFor(SETTLED_MS);
-        if (server.closeIfIdle()) {
+        boolean takenOver = isTakenOver();
+        if (takenOver && server.closeIfIdle()) {
           return;
         }
+        if (!takenOver && !waits) {
+          log.write("stop_waits_for_others", "after_ms={}", stop.sinceMs());
+        }
+        waits = !takenOver;
       }
       Thread.sleep(STOP_POLL_MS);
     }
@@ -246,6 +258,12 @@
     server.endRequests();
   }
 
+  /** Returns whether callers that are directed to this data centre find another gateway. */
+  private boolean isTakenOver() {
+    boolean recent = clock.upper().sinceMs(state.relayPeersHeard()) <= RELAYS_MAX_AGE_MS;
+    return succession.isTakenOver(recent ? Optional.of(state.relayPeers()) : Optional.empty());
+  }
+
   /** Waits until the responses of requests that were ended or refused have been written. */
   private void awaitResponses(StopPolicy policy) throws InterruptedException {
     while (server.inFlight() > 0 && stop.sinceMs() < policy.limitMs()) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetControl.java
@@ -237,9 +237,13 @@
     link.onWoken();
   }
 
-  /** Gives up the term so that another gateway can take it at once; routing continues. */
+  /**
+   * Gives up the term so that another gateway can take it at once, and tells the holder that this
+   * one stops; routing continues.
+   */
   public void resign() {
     control.execute(termLease::close);
+    control.execute(link::onStopping);
   }
 
   /**
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/control/FleetLink.java
@@ -313,7 +313,7 @@
       state.setMovesPossible(
           coordinator.get().termAgeMs() <= FRESH_HEARTBEAT_AGE_MS, clock.nowMs());
       subscribers.removeSilent(clock.nowMs(), timings.helloIntervalMs());
-      state.setRelayPeers(reach.ownRelays(clock.nowMs(), timings.helloIntervalMs()));
+      state.setRelayPeers(reach.ownRelays(clock.nowMs(), timings.helloIntervalMs()), clock.upper());
       updateProcesses();
       return;
     }
@@ -436,6 +436,11 @@
     }
   }
 
+  /** Tells the holder without delay that this gateway takes no more requests of peers. */
+  void onStopping() {
+    sendHello();
+  }
+
   private void sendHello() {
     holderAddress.ifPresent(address -> network.send(address, hello()));
   }
@@ -473,7 +478,7 @@
       return;
     }
     deputies.onNamed(heartbeat.deputies());
-    state.setRelayPeers(heartbeat.relays());
+    state.setRelayPeers(heartbeat.relays(), helloSent);
     crashes.onHolderAndDeputies(holderAddress, deputies.others());
     quotas.onHolderAndDeputies(
         holderAddress, deputies.others(), Math.max(1, heartbeat.processes()));
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -32,6 +32,7 @@
  * @param arrivedMs the earliest time at which the request may have arrived; milliseconds
  * @param deadlineMs the time by which it has to be answered; milliseconds
  * @param deadline the deadline by the clock that never runs behind the elapsed time; not null
+ * @param workEnd the time until which a target may work on it; not after the deadline; not null
  * @param configurationVersion the version of the configuration that routed the request
  */
 record CallerRequest(
@@ -48,6 +49,7 @@
     long arrivedMs,
     long deadlineMs,
     UpperTime deadline,
+    UpperTime workEnd,
     long configurationVersion) {
 
   /** Calls back once if the caller closes its connection before the response. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -80,6 +80,10 @@
     if (endIfQuarantined(services.quarantine().admit(call.identity()))) {
       return;
     }
+    if (!services.stop().admits(call.deadline())) {
+      handOver("stopping");
+      return;
+    }
     boolean shed = services.dispatcher().shouldShed(slotRequest);
     if (shed) {
       recordUnservedLoad();
@@ -192,12 +196,19 @@
     switch (obstacle.condition()) {
       case CALLER_PRESENT -> onCallerGone();
       case TIME_LEFT -> decide(() -> machine.onDeadline(false));
-      case ROUTE_IN_FORCE, ENDS_BEFORE_STOP -> decide(() -> machine.onNoSlot(obstacle.label()));
+      case ROUTE_IN_FORCE -> decide(() -> machine.onNoSlot(obstacle.label()));
+      case ENDS_BEFORE_STOP -> handOver(obstacle.label());
       case QUARANTINE_CLEAR -> endIfQuarantined(Math.max(1, quarantinedForMs()));
       default -> onTargetUnusable(obstacle);
     }
   }
 
+  /** Has a peer send the request, since this process stops, or ends it if there is none. */
+  private void handOver(String reason) {
+    long nowMs = services.clock().nowMs();
+    decide(() -> machine.onStopping(forwarding.isPossible(), reason, nowMs));
+  }
+
   /** Tries another target, unless the list of targets is outdated as a whole. */
   private void onTargetUnusable(SendObstacle obstacle) {
     if (obstacle.condition() == SendCondition.TARGET_SERVES && obstacle.outdated()) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -10,6 +10,7 @@
 import io.cuminvalve.router.caller.CallerHeaders;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.http.HttpHeader;
@@ -134,7 +135,8 @@
       refuse(inProgress, CallerResponseWriter.TOO_LARGE, "body_too_large");
       return;
     }
-    if (!services.stop().admits(deadline)) {
+    if (!services.stop().admits(deadline)
+        && !services.relay().mayTake(request, deadline, route.get(), services.stop())) {
       refuse(inProgress, CallerResponseWriter.UNAVAILABLE, STOPPING);
       return;
     }
@@ -245,6 +247,7 @@
             arrivedMs - relayed.map(RelayedRequest::ageMs).orElse(0L),
             arrivedMs + timeLimitMs,
             arrived.plusMs(timeLimitMs),
+            arrived.plusMs(Math.min(timeLimitMs, relayedWorkMs(relayed))),
             configuration.version());
     GatewayExchange exchange = new GatewayExchange(services, call, inProgress::end);
     if (inProgress.enter(RequestPhase.FORWARDING, exchange::onStopLimit)) {
@@ -252,6 +255,10 @@
     }
   }
 
+  private static long relayedWorkMs(Optional<RelayedRequest> relayed) {
+    return relayed.map(RelayedRequest::workMs).orElse(OptionalLong.empty()).orElse(Long.MAX_VALUE);
+  }
+
   private static RequestIdentity identityOf(
       Request request, Optional<RelayedRequest> relayed, OptionalInt key, BufferedBody body) {
     RequestFingerprint content =
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -1,8 +1,10 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.core.buffer.BufferBudget;
+import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.core.send.SendGate;
+import io.cuminvalve.core.stop.ZoneSuccession;
 import io.cuminvalve.gateway.AnswerDecoder;
 import io.cuminvalve.gateway.GatewaySettings;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -71,6 +73,7 @@
   /** Targets that are probed at a time to learn whether they can be reached. */
   private static final int REACH_PROBES = 2;
 
+  private final GatewaySettings settings;
   private final Server server;
   private final ServerConnector callers;
   private final ServerConnector relays;
@@ -143,6 +146,7 @@
       StopProgress stop,
       BiConsumer<Dispatcher, SlotRequest> submission,
       BufferBudget budget) {
+    this.settings = settings;
     this.buffers = new BodyBuffers(budget);
     SplittableRandom random = new SplittableRandom();
     this.client =
@@ -300,6 +304,19 @@
     }
   }
 
+  /**
+   * Returns who takes over from this gateway if it stops now.
+   *
+   * @param peers the gateways that are ready; not null
+   * @return never null
+   */
+  public ZoneSuccession succession(List<RelayPeer> peers) {
+    return new ZoneSuccession(
+        settings.peerHost() + ":" + relays.getLocalPort(),
+        new DataCentreId(settings.dataCentre()),
+        peers);
+  }
+
   /** Closes the ports and all connections. */
   public void stop() {
     try {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerAttempt.java
@@ -94,7 +94,7 @@
   public boolean onConnection(HttpFields.Mutable headers) {
     UpperTime now = services.clock().upper();
     long leftMs = call.deadline().sinceMs(now);
-    if (leftMs <= 0) {
+    if (services.stop().workEnd(call.workEnd()).sinceMs(now) <= 0) {
       obstacle = Optional.of(SendCondition.TIME_LEFT);
     } else if (!call.isCallerPresent()) {
       obstacle = Optional.of(SendCondition.CALLER_PRESENT);
@@ -103,6 +103,9 @@
       return false;
     }
     headers.put(services.headers().deadlineMs(), leftMs);
+    if (services.stop().isStopping()) {
+      headers.put(RelayHeaders.WORK_MS, services.stop().workEnd(call.workEnd()).sinceMs(now));
+    }
     headers.put(RelayHeaders.AGE_MS, Math.max(0, services.clock().nowMs() - call.arrivedMs()));
     return handover.begin();
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerForwarding.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerForwarding.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.exchange.ExchangeEffect;
 import io.cuminvalve.core.exchange.ExchangeStateMachine;
 import io.cuminvalve.core.send.SendCondition;
+import io.cuminvalve.core.stop.StopPolicy;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -46,12 +47,13 @@
 
   /**
    * Returns whether a peer is left for the request; none is if a peer sent it here. A stopping
-   * process forwards no request that it may have to end before the peer does.
+   * process forwards no request that leaves the peer too little time.
    */
   boolean isPossible() {
     return call.relayed().isEmpty()
         && services.relay().knowsOtherThan(tried)
-        && services.stop().admits(call.deadline());
+        && services.stop().treat(call.deadline(), call.route().targetLatencyMs(), true)
+            != StopPolicy.Treatment.REFUSE;
   }
 
   /** Returns whether the request has been forwarded. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
@@ -4,7 +4,10 @@
 import io.cuminvalve.core.fleet.RelayPeer;
 import io.cuminvalve.core.fleet.RelayPeerSelector;
 import io.cuminvalve.core.id.DataCentreId;
+import io.cuminvalve.core.route.Route;
+import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetRequest;
 import java.util.Optional;
@@ -45,6 +48,12 @@
     return state.relayPeers().stream().anyMatch(peer -> !tried.contains(peer.address()));
   }
 
+  /** Returns whether a peer may take a request from this process, which may be stopping. */
+  boolean mayTake(Request request, UpperTime deadline, Route route, StopProgress stop) {
+    boolean peerKnown = RelayedRequest.of(request).isEmpty() && knowsOtherThan(Set.of());
+    return stop.treat(deadline, route.targetLatencyMs(), peerKnown) != StopPolicy.Treatment.REFUSE;
+  }
+
   /** Prepares an attempt at a peer whose address is not among the given ones, if there is one. */
   Optional<PeerAttempt> prepare(
       ExchangeServices services,
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RelayHeaders.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RelayHeaders.java
@@ -21,6 +21,9 @@
   /** The time since the request arrived at the first gateway; milliseconds. */
   static final String AGE_MS = "Cuminvalve-Relay-Age-Ms";
 
+  /** The time for which a target may work on the request; milliseconds; absent if unbounded. */
+  static final String WORK_MS = "Cuminvalve-Relay-Work-Ms";
+
   /** The service chosen by the first gateway. */
   static final String SERVICE = "Cuminvalve-Relay-Service";
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RelayedRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RelayedRequest.java
@@ -4,6 +4,7 @@
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.WeightedService;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -15,11 +16,19 @@
  * @param earlierRuns the number of targets on which it may have run
  * @param maxRuns the number of targets on which it may have run when this gateway is done with it
  * @param ageMs the time since it arrived at the first gateway; milliseconds
+ * @param workMs the time from its arrival here for which a target may work on it; milliseconds;
+ *     empty if the first gateway does not stop; not null
  * @param service the service chosen there; not null
  * @param caller the IP address of the caller; not null
  */
 record RelayedRequest(
-    String id, int earlierRuns, int maxRuns, long ageMs, String service, String caller) {
+    String id,
+    int earlierRuns,
+    int maxRuns,
+    long ageMs,
+    OptionalLong workMs,
+    String service,
+    String caller) {
 
   private static final String ATTRIBUTE = RelayedRequest.class.getName();
 
@@ -42,9 +51,13 @@
       int earlierRuns = Integer.parseInt(headers.get(RelayHeaders.RUNS));
       int maxRuns = Integer.parseInt(headers.get(RelayHeaders.MAX_RUNS));
       long ageMs = Long.parseLong(headers.get(RelayHeaders.AGE_MS));
+      String work = headers.get(RelayHeaders.WORK_MS);
+      OptionalLong workMs =
+          work == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(work));
       boolean valid = earlierRuns >= 0 && maxRuns > earlierRuns && ageMs >= 0;
       return valid
-          ? Optional.of(new RelayedRequest(id, earlierRuns, maxRuns, ageMs, service, caller))
+          ? Optional.of(
+              new RelayedRequest(id, earlierRuns, maxRuns, ageMs, workMs, service, caller))
           : Optional.empty();
     } catch (NumberFormatException malformed) {
       return Optional.empty();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestFacts.java
@@ -62,7 +62,7 @@
     TargetId target = slot.target().id();
     return switch (condition) {
       case ATTEMPT_OPEN -> ConditionStatus.local(open.getAsBoolean(), now);
-      case TIME_LEFT -> ConditionStatus.local(call.deadline().sinceMs(now) > 0, now);
+      case TIME_LEFT -> ConditionStatus.local(workEnd().sinceMs(now) > 0, now);
       case ENDS_BEFORE_STOP -> ConditionStatus.local(services.stop().admits(call.deadline()), now);
       case TARGET_RUNS -> ConditionStatus.local(!services.dispatcher().isReplaced(target), now);
       case TARGET_SERVES -> targetServes(target);
@@ -81,6 +81,11 @@
     };
   }
 
+  /** Returns until when a target may work on the request if it is sent now. */
+  private UpperTime workEnd() {
+    return services.stop().workEnd(call.workEnd());
+  }
+
   private ConditionStatus targetServes(TargetId target) {
     // Read before the targets: a concurrent change can only make them newer than this time.
     UpperTime asOf = services.state().targetsConfirmed();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -28,6 +28,7 @@
   private volatile LongSupplier configurationMaxAgeMs = () -> 0;
   private volatile BooleanSupplier storeSilent = () -> false;
   private volatile List<RelayPeer> relayPeers = List.of();
+  private volatile UpperTime relayPeersHeard = UpperTime.NEVER;
 
   /**
    * Creates a state without configuration, targets and owners.
@@ -179,9 +180,11 @@
    * Sets the gateways that can reach targets for this one.
    *
    * @param peers the gateways, this one not among them; not null
+   * @param asOf the earliest time at which they were told; not null
    */
-  public void setRelayPeers(List<RelayPeer> peers) {
+  public void setRelayPeers(List<RelayPeer> peers, UpperTime asOf) {
     relayPeers = List.copyOf(peers);
+    relayPeersHeard = asOf;
   }
 
   /**
@@ -193,6 +196,15 @@
     return relayPeers;
   }
 
+  /**
+   * Returns the time at which {@link #relayPeers()} was told, at the earliest.
+   *
+   * @return {@link UpperTime#NEVER} if none was told; never null
+   */
+  public UpperTime relayPeersHeard() {
+    return relayPeersHeard;
+  }
+
   /**
    * Adds a listener that is called on the control thread after each change.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/StopProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/StopProgress.java
@@ -53,6 +53,36 @@
         .orElse(true);
   }
 
+  /**
+   * Returns what to do with a request that was not sent.
+   *
+   * @param deadline the end of its time limit; not null
+   * @param objectiveMs its latency objective; milliseconds
+   * @param peerKnown whether a peer may take it
+   * @return never null
+   */
+  public StopPolicy.Treatment treat(UpperTime deadline, long objectiveMs, boolean peerKnown) {
+    return began
+        .map(
+            since ->
+                policy.treat(
+                    clock.upper().sinceMs(since), deadline.sinceMs(since), objectiveMs, peerKnown))
+        .orElse(StopPolicy.Treatment.BEGIN);
+  }
+
+  /**
+   * Returns until when a target may work on a request that is sent now.
+   *
+   * @param limit the limit without a stop; not null
+   * @return the limit, or an earlier time if this process is stopping; never null
+   */
+  public UpperTime workEnd(UpperTime limit) {
+    return began
+        .map(since -> since.plusMs(policy.workEndMs()))
+        .filter(end -> end.compareTo(limit) < 0)
+        .orElse(limit);
+  }
+
   /**
    * Returns the time since the begin of the stop.
    *
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/TargetAttempt.java
@@ -137,7 +137,9 @@
       return false;
     }
     UpperTime now = services.clock().upper();
-    headers.put(services.headers().deadlineMs(), Math.max(1, call.deadline().sinceMs(now)));
+    headers.put(
+        services.headers().deadlineMs(),
+        Math.max(1, services.stop().workEnd(call.workEnd()).sinceMs(now)));
     boolean begins = handover.begin();
     if (begins) {
       services.metrics().onSent(sentMs - call.arrivedMs());
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawCall.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RawCall.java
@@ -47,6 +47,11 @@
     return send("POST " + path, id, lines, body);
   }
 
+  /** Sends further bytes. */
+  void write(byte[] bytes) throws IOException {
+    socket.getOutputStream().write(bytes);
+  }
+
   /** Reads a complete response; null if the connection ends without one. */
   Reply reply() throws IOException {
     String head = RawTarget.readHead(socket.getInputStream());
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/ReachMonitorTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/ReachMonitorTest.java
@@ -8,6 +8,7 @@
 import io.cuminvalve.core.id.TargetId;
 import io.cuminvalve.core.reach.ReachShare;
 import io.cuminvalve.gateway.observe.DecisionLog;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.testkit.time.VirtualClock;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
@@ -126,7 +127,7 @@
     reach.onAnswer(targets.get(3).id());
     assertThat(reach.isUsable(targets.get(3))).isTrue();
     assertThat(reach.isUsable(targets.get(4))).isFalse();
-    state.setRelayPeers(List.of(new RelayPeer("10.0.0.9:1", TrafficFixture.HERE)));
+    state.setRelayPeers(List.of(new RelayPeer("10.0.0.9:1", TrafficFixture.HERE)), UpperTime.NEVER);
     assertThat(reach.isUsable(targets.get(3))).isFalse();
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
@@ -46,6 +46,12 @@
   /** The memory for bodies. */
   private static final long BUDGET_BYTES = 4L * 1024 * 1024;
 
+  /** The latency objective of the route {@code quick}. */
+  static final long QUICK_OBJECTIVE_MS = 5_000;
+
+  static final long STOP_NOTICE_MS = 1_000;
+  static final long STOP_LIMIT_MS = 10_000;
+
   private static final long TIMEOUT_MS = 120_000;
   private static final ServiceId FILES = new ServiceId("files");
   private static final ServiceId BOOKINGS = new ServiceId("bookings");
@@ -53,6 +59,7 @@
 
   private final VirtualClock clock = new VirtualClock(1_000_000);
   private final RoutingState state = new RoutingState(1);
+  private final StopProgress stop = new StopProgress(clock, settings().stopPolicy());
   private final RequestMetrics metrics = new RequestMetrics();
   private final MetricsPage page;
   private final GatewayServer server;
@@ -72,8 +79,8 @@
             unknown,
             page,
             new SharedKey(KEY),
-            () -> true,
-            new StopProgress(clock, settings().stopPolicy()),
+            () -> !stop.isStopping(),
+            stop,
             submission,
             new BufferBudget(BUDGET_BYTES));
     configure(targetAddress);
@@ -93,7 +100,7 @@
                 request.refused(
                     TargetRefusal.forUnreachable(new TargetId("files-1"), UNREACHABLE_RETRY_MS)),
             "127.0.0.1:9");
-    gateway.state.setRelayPeers(Arrays.asList(peers));
+    gateway.setPeers(peers);
     return gateway;
   }
 
@@ -119,8 +126,8 @@
         0.1,
         100,
         5_000,
-        1_000,
-        10_000,
+        STOP_NOTICE_MS,
+        STOP_LIMIT_MS,
         List.of());
   }
 
@@ -134,6 +141,7 @@
             1,
             List.of(
                 route("files", FILES, true),
+                route("quick", FILES, false, QUICK_OBJECTIVE_MS),
                 route("orders", FILES, false),
                 route("bookings", BOOKINGS, false)),
             List.of(
@@ -153,13 +161,17 @@
   }
 
   private static Route route(String name, ServiceId service, boolean idempotent) {
+    return route(name, service, idempotent, TIMEOUT_MS);
+  }
+
+  private static Route route(String name, ServiceId service, boolean idempotent, long objectiveMs) {
     return new Route(
         name,
         "files.example",
         "/" + name + "/",
         idempotent,
         TIMEOUT_MS,
-        TIMEOUT_MS,
+        objectiveMs,
         0,
         List.of(new WeightedService(service, 1)),
         MAX_ATTEMPTS);
@@ -185,7 +197,7 @@
 
   /** Sets the peers, which may have been started later. */
   void setPeers(RelayPeer... peers) {
-    state.setRelayPeers(Arrays.asList(peers));
+    state.setRelayPeers(Arrays.asList(peers), clock.upper());
   }
 
   int callerPort() {
@@ -197,6 +209,16 @@
     return server.bufferedBytes();
   }
 
+  /** Begins to stop. */
+  void beginStop() {
+    stop.begin();
+  }
+
+  /** Advances the clock, which stands still otherwise. */
+  void advance(long durationMs) {
+    clock.advance(durationMs);
+  }
+
   /** Ends all requests in progress, as at the end of a stop. */
   void endRequests() {
     server.endRequests();
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/TrafficFixture.java
@@ -170,6 +170,7 @@
         clock.nowMs(),
         DEADLINE_MS,
         clock.upper().plusMs(DEADLINE_MS),
+        clock.upper().plusMs(DEADLINE_MS),
         CONFIGURATION.version());
   }
 
