Remember who was ready lately when a stop chooses who goes on listening

A gateway counts those of that time as its data centre, and chooses among those that were ready within the notice before its stop. Where all stop at a time and targets are slow, the one that listens finds no peer and refuses, and fewer are served.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway;
 
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.stop.ReadyPeers;
 import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.core.stop.ZoneSuccession;
 import io.cuminvalve.gateway.control.FleetControl;
@@ -18,6 +19,7 @@
 import io.cuminvalve.kernel.FailureHandler;
 import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.kernel.SuspensionClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.StoreCallGuard;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -221,7 +223,11 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void stop() throws InterruptedException {
-    succession = server.succession(state.relayPeers());
+    UpperTime now = clock.upper();
+    succession =
+        server.succession(
+            state.relayPeersSince(now.minusMs(ReadyPeers.RESTART_MS)),
+            state.relayPeersSince(now.minusMs(settings.stopPolicy().noticeMs())));
     stop.begin();
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -307,14 +307,16 @@
   /**
    * Returns who takes over from this gateway if it stops now.
    *
-   * @param peers the gateways that are ready; not null
+   * @param known the gateways that run or start again; not null
+   * @param listening those of them that listen; not null
    * @return never null
    */
-  public ZoneSuccession succession(List<RelayPeer> peers) {
+  public ZoneSuccession succession(List<RelayPeer> known, List<RelayPeer> listening) {
     return new ZoneSuccession(
         settings.peerHost() + ":" + relays.getLocalPort(),
         new DataCentreId(settings.dataCentre()),
-        peers);
+        known,
+        listening);
   }
 
   /** Closes the ports and all connections. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.RelayPeer;
+import io.cuminvalve.core.stop.ReadyPeers;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import java.util.OptionalLong;
@@ -28,6 +29,7 @@
   private volatile LongSupplier configurationMaxAgeMs = () -> 0;
   private volatile BooleanSupplier storeSilent = () -> false;
   private volatile List<RelayPeer> relayPeers = List.of();
+  private final ReadyPeers readyPeers = new ReadyPeers();
   private volatile UpperTime relayPeersHeard = UpperTime.NEVER;
 
   /**
@@ -185,6 +187,7 @@
   public void setRelayPeers(List<RelayPeer> peers, UpperTime asOf) {
     relayPeers = List.copyOf(peers);
     relayPeersHeard = asOf;
+    readyPeers.onTold(peers, asOf.ms());
   }
 
   /**
@@ -196,6 +199,16 @@
     return relayPeers;
   }
 
+  /**
+   * Returns the gateways that were among {@link #relayPeers()} lately.
+   *
+   * @param since the time since which they were; not null
+   * @return in no particular order; never null
+   */
+  public List<RelayPeer> relayPeersSince(UpperTime since) {
+    return readyPeers.since(since.ms());
+  }
+
   /**
    * Returns the time at which {@link #relayPeers()} was told, at the earliest.
    *
