--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/stop/StopPolicyTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/stop/StopPolicyTest.java
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void lateRequestsAreHandedOverIfThereIsTimeAndAPeer() {
+  void lateRequestsAreHandedOverIfThereIsTimeAndPeer() {
     long objectiveMs = 400;
     long lastMs = policy.workEndMs() - objectiveMs;
     assertThat(policy.treat(NOTICE_MS - 1, NEVER_MS, objectiveMs, true)).isEqualTo(BEGIN);
