--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/Gateway.java
@@ -1,7 +1,9 @@
 package io.cuminvalve.gateway;
 
 import io.cuminvalve.core.route.RoutingConfiguration;
+import io.cuminvalve.core.stop.ReadyPeers;
 import io.cuminvalve.core.stop.StopPolicy;
+import io.cuminvalve.core.stop.ZoneSuccession;
 import io.cuminvalve.gateway.control.FleetControl;
 import io.cuminvalve.gateway.control.StoreCircuitBreaker;
 import io.cuminvalve.gateway.observe.DecisionLog;
@@ -17,6 +19,7 @@
 import io.cuminvalve.kernel.FailureHandler;
 import io.cuminvalve.kernel.SharedKey;
 import io.cuminvalve.kernel.SuspensionClock;
+import io.cuminvalve.kernel.UpperTime;
 import io.cuminvalve.ports.store.StoreCallGuard;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -53,6 +56,9 @@
   /** A request may be on its way on a connection that was used within this time. */
   private static final long SETTLED_MS = 1_000;
 
+  /** Two hellos of the largest fleet, so that a single loss does not matter. */
+  private static final long RELAYS_MAX_AGE_MS = 1_500;
+
   private static final double MS_PER_SECOND = 1000.0;
 
   private final GatewaySettings settings;
@@ -68,6 +74,7 @@
   private final GatewayServer server;
   private final FleetControl fleet;
   private final StopProgress stop;
+  private ZoneSuccession succession;
 
   /**
    * Creates a gateway that is not started.
@@ -220,6 +227,11 @@
    * @throws InterruptedException if the thread is interrupted
    */
   public void stop() throws InterruptedException {
+    UpperTime now = clock.upper();
+    succession =
+        server.succession(
+            state.relayPeersSince(now.minusMs(ReadyPeers.RESTART_MS)),
+            state.relayPeersSince(now.minusMs(settings.stopPolicy().noticeMs())));
     stop.begin();
     log.write("stopping", "in_flight={}", server.inFlight());
     fleet.resign();
@@ -237,12 +249,18 @@
 
   /** Waits until callers have been redirected and requests have completed, or the limit. */
   private void awaitRequests(StopPolicy policy) throws InterruptedException {
+    boolean waits = false;
     while (stop.sinceMs() < policy.requestsEndMs()) {
       if (policy.isNoticeOver(stop.sinceMs())) {
         server.closeConnectionsIdleFor(SETTLED_MS);
-        if (server.closeIfIdle()) {
+        boolean takenOver = isTakenOver();
+        if (takenOver && server.closeIfIdle()) {
           return;
         }
+        if (!takenOver && !waits) {
+          log.write("stop_waits_for_others", "after_ms={}", stop.sinceMs());
+        }
+        waits = !takenOver;
       }
       Thread.sleep(STOP_POLL_MS);
     }
@@ -250,6 +268,12 @@
     server.endRequests();
   }
 
+  /** Returns whether callers that are directed to this data centre find another gateway. */
+  private boolean isTakenOver() {
+    boolean recent = clock.upper().sinceMs(state.relayPeersHeard()) <= RELAYS_MAX_AGE_MS;
+    return succession.isTakenOver(recent ? Optional.of(state.relayPeers()) : Optional.empty());
+  }
+
   /** Waits until the responses of requests that were ended or refused have been written. */
   private void awaitResponses(StopPolicy policy) throws InterruptedException {
     while (server.inFlight() > 0 && stop.sinceMs() < policy.limitMs()) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RoutingState.java
@@ -3,6 +3,7 @@
 import io.cuminvalve.core.fleet.Evacuations;
 import io.cuminvalve.core.fleet.FleetTarget;
 import io.cuminvalve.core.fleet.RelayPeer;
+import io.cuminvalve.core.stop.ReadyPeers;
 import io.cuminvalve.kernel.UpperTime;
 import java.util.List;
 import java.util.OptionalLong;
@@ -28,6 +29,8 @@
   private volatile LongSupplier configurationMaxAgeMs = () -> 0;
   private volatile BooleanSupplier storeSilent = () -> false;
   private volatile List<RelayPeer> relayPeers = List.of();
+  private final ReadyPeers readyPeers = new ReadyPeers();
+  private volatile UpperTime relayPeersHeard = UpperTime.NEVER;
 
   /**
    * Creates a state without configuration, targets and owners.
@@ -179,9 +182,12 @@
    * Sets the gateways that can reach targets for this one.
    *
    * @param peers the gateways, this one not among them; not null
+   * @param asOf the earliest time at which they were told; not null
    */
-  public void setRelayPeers(List<RelayPeer> peers) {
+  public void setRelayPeers(List<RelayPeer> peers, UpperTime asOf) {
     relayPeers = List.copyOf(peers);
+    relayPeersHeard = asOf;
+    readyPeers.onTold(peers, asOf.ms());
   }
 
   /**
@@ -193,6 +199,25 @@
     return relayPeers;
   }
 
+  /**
+   * Returns the gateways that were among {@link #relayPeers()} lately.
+   *
+   * @param since the time since which they were; not null
+   * @return in no particular order; never null
+   */
+  public List<RelayPeer> relayPeersSince(UpperTime since) {
+    return readyPeers.since(since.ms());
+  }
+
+  /**
+   * Returns the time at which {@link #relayPeers()} was told, at the earliest.
+   *
+   * @return {@link UpperTime#NEVER} if none was told; never null
+   */
+  public UpperTime relayPeersHeard() {
+    return relayPeersHeard;
+  }
+
   /**
    * Adds a listener that is called on the control thread after each change.
    *
