Handle pipelined safe requests before earlier ones are answered

Cause: the server reads the next request of a connection when the one before has its response, so one slow response makes all behind it late. Change: with `pipelinedRequests` above 0, safe requests without a body that arrive behind a safe one are each given to a server connection of their own in memory; their responses are written in the order of the requests, without a copy. Whatever the strict grammar does not know ends the reading ahead. The read bytes have their times of arrival by place in the stream. A response of a stopping gateway closes the connection only if no later request of it is in progress. Without the setting nothing changes.

--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/GatewaySettings.java
@@ -36,6 +36,8 @@
  * @param stopNoticeMs how long it continues to serve after a stop request, so that callers can be
  *     redirected; milliseconds
  * @param stopLimitMs the maximum duration of a shutdown; milliseconds
+ * @param pipelinedRequests how many requests of a caller's connection are handled before an earlier
+ *     one is answered, if the caller sends them so early; 0 for none
  * @param seedPeers peer addresses of some gateways, which may be down; they are asked for routing
  *     state while the store does not respond; not null
  * @since 0.2
@@ -62,6 +64,7 @@
     long repeatWindowMs,
     long stopNoticeMs,
     long stopLimitMs,
+    int pipelinedRequests,
     List<String> seedPeers) {
 
   /** Creates settings with a copy of the list. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/CallerRequest.java
@@ -4,7 +4,7 @@
 import io.cuminvalve.core.quarantine.RequestIdentity;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.kernel.UpperTime;
-import io.cuminvalve.router.caller.CallerEndPoint;
+import io.cuminvalve.router.caller.WatchedEndPoint;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -54,7 +54,7 @@
   void watchCaller(Runnable onGone) {
     request.addFailureListener(failure -> onGone.run());
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    if (endPoint instanceof CallerEndPoint watched) {
+    if (endPoint instanceof WatchedEndPoint watched) {
       watched.watch(onGone);
     }
   }
@@ -62,11 +62,16 @@
   /** Checks whether the caller's connection is open, even if its end has not been reported yet. */
   boolean isCallerPresent() {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    return endPoint instanceof CallerEndPoint watched
+    return endPoint instanceof WatchedEndPoint watched
         ? watched.isCallerPresent()
         : endPoint.isOpen();
   }
 
+  /** Lets the response close the connection, unless later requests of it are in progress. */
+  boolean claimLast() {
+    return RequestInProgress.claimLast(request);
+  }
+
   /** Returns what the gateway said that relays this request; empty if it is an own caller's. */
   Optional<RelayedRequest> relayed() {
     return RelayedRequest.of(request);
@@ -96,7 +101,7 @@
   /** Stops watching the caller's connection before the response is written. */
   void unwatchCaller() {
     EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
-    if (endPoint instanceof CallerEndPoint watched) {
+    if (endPoint instanceof WatchedEndPoint watched) {
       watched.unwatch();
     }
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayExchange.java
@@ -349,7 +349,7 @@
         complete.status(),
         CallerHeaders.passedOn(complete.headers()),
         complete.body(),
-        services.stop().isStopping(),
+        services.stop().isStopping() && call.claimLast(),
         Callback.from(complete.body()::release, Callback.from(onEnded, call.callback())));
   }
 
@@ -362,7 +362,7 @@
         call.response(),
         status,
         retryAfterMs,
-        services.stop().isStopping(),
+        services.stop().isStopping() && call.claimLast(),
         Callback.from(onEnded, call.callback()));
   }
 
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayHandler.java
@@ -6,8 +6,8 @@
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.RoutingConfiguration;
 import io.cuminvalve.kernel.UpperTime;
-import io.cuminvalve.router.caller.CallerEndPoint;
 import io.cuminvalve.router.caller.CallerHeaders;
+import io.cuminvalve.router.caller.WatchedEndPoint;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
@@ -106,7 +106,7 @@
   /** Returns the earliest time at which the request may have reached this host. */
   private UpperTime earliestArrival(Request request) {
     UpperTime now = services.clock().upper();
-    if (RequestInProgress.endPointOf(request) instanceof CallerEndPoint caller) {
+    if (RequestInProgress.placeOf(request) instanceof WatchedEndPoint caller) {
       UpperTime arrived = caller.arrivedAfter(request.getBeginNanoTime());
       return arrived.latest(now.minusMs(MAX_CALLER_WAIT_MS));
     }
@@ -319,7 +319,7 @@
             status,
             reason);
     long retryAfterMs = status == CallerResponseWriter.UNAVAILABLE ? RETRY_AFTER_MS : 0;
-    boolean closeConnection = services.stop().isStopping();
+    boolean closeConnection = services.stop().isStopping() && RequestInProgress.claimLast(request);
     CallerResponseWriter.writeEmpty(
         inProgress.response(), status, retryAfterMs, closeConnection, inProgress.callback());
   }
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -72,8 +72,8 @@
   private static final int REACH_PROBES = 2;
 
   private final Server server;
-  private final ServerConnector callers;
-  private final ServerConnector relays;
+  private final WatchingConnector callers;
+  private final WatchingConnector relays;
   private final ServerConnector readiness;
   private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
@@ -210,12 +210,14 @@
             () -> relayAddress(settings.peerHost(), ready));
     this.handler = new GatewayHandler(services, random.split());
     this.server = new Server(new DaemonThreadPool("caller", MAX_THREADS, MIN_THREADS));
-    this.callers = connector(settings.callerAddress(), clock, MAX_HEADER_BYTES);
+    this.callers =
+        connector(settings.callerAddress(), clock, MAX_HEADER_BYTES, settings.pipelinedRequests());
     this.relays =
         connector(
             new InetSocketAddress(settings.peerHost(), settings.relayPort()),
             clock,
-            MAX_RELAYED_HEADER_BYTES);
+            MAX_RELAYED_HEADER_BYTES,
+            0);
     this.readiness = plainConnector(settings.readinessAddress());
     this.scrapes = settings.metricsAddress().map(this::plainConnector);
     RelayHandler admission = new RelayHandler(relays, token, ready, log, metrics, handler);
@@ -226,6 +228,14 @@
         "cuminvalve_buffered_bytes",
         "Memory for buffered bodies of requests and responses.",
         buffers::usedBytes);
+    page.addGauge(
+        "cuminvalve_read_ahead_requests",
+        "Requests read before earlier ones of their connection were answered, since the start.",
+        callers::readAheadTotal);
+    page.addGauge(
+        "cuminvalve_read_ahead_requests_in_flight",
+        "Requests without an answer that were read before earlier ones were answered.",
+        callers::readAheadInProgress);
     page.addGauge(
         "cuminvalve_relayed_requests_in_flight",
         "Requests without an answer that other gateways relay.",
@@ -271,16 +281,16 @@
     return port > 0 && ready.getAsBoolean() ? host + ":" + port : "";
   }
 
-  private ServerConnector connector(
-      InetSocketAddress address, MillisClock clock, int maxHeaderBytes) {
+  private WatchingConnector connector(
+      InetSocketAddress address, MillisClock clock, int maxHeaderBytes, int maxReadAhead) {
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
     http.setRequestHeaderSize(maxHeaderBytes);
     http.setResponseHeaderSize(maxHeaderBytes);
     http.setUriCompliance(UriCompliance.UNSAFE);
-    ServerConnector connector =
-        new WatchingConnector(server, clock, new HttpConnectionFactory(http));
+    WatchingConnector connector =
+        new WatchingConnector(server, clock, maxReadAhead, new HttpConnectionFactory(http));
     connector.setHost(address.getHostString());
     connector.setPort(address.getPort());
     connector.setIdleTimeout(CALLER_IDLE_MS);
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/RequestInProgress.java
@@ -1,6 +1,7 @@
 package io.cuminvalve.gateway.traffic;
 
 import io.cuminvalve.kernel.UpperTime;
+import io.cuminvalve.router.caller.WatchedEndPoint;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.server.Request;
@@ -68,10 +69,22 @@
     return endPointOf(request);
   }
 
+  /** Returns the connection of a request, which other requests may share. */
   static EndPoint endPointOf(Request request) {
+    EndPoint place = placeOf(request);
+    return place instanceof WatchedEndPoint watched ? watched.connection() : place;
+  }
+
+  /** Returns where the server has read a request from. */
+  static EndPoint placeOf(Request request) {
     return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
+  /** Lets the response close the connection, unless later requests of it are in progress. */
+  static boolean claimLast(Request request) {
+    return !(placeOf(request) instanceof WatchedEndPoint watched) || watched.claimLast();
+  }
+
   /**
    * Keeps the body until the request ends: then its reading ends, or its memory is released. Both
    * happen at once if the request has ended already.
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/control/FollowingGateway.java
@@ -193,6 +193,7 @@
         1_000,
         2_300,
         10_000,
+        0,
         List.of());
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
@@ -121,6 +121,7 @@
         5_000,
         1_000,
         10_000,
+        0,
         List.of());
   }
 
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/StallableGateway.java
@@ -65,6 +65,8 @@
   private final RoutingState state = new RoutingState(1);
   private final RawTarget target;
   private final GatewayServer server;
+  private final MetricsPage page;
+  private final StopProgress stop;
   private final List<Socket> sockets = new ArrayList<>();
   private final Queue<String> lines = new ConcurrentLinkedQueue<>();
   private final AtomicInteger ids = new AtomicInteger();
@@ -76,29 +78,37 @@
   private volatile boolean sendsAreBlocked;
 
   StallableGateway(RawTarget target) {
+    this(target, 0);
+  }
+
+  /** Creates a gateway that handles some requests of a connection ahead. */
+  StallableGateway(RawTarget target, int pipelinedRequests) {
     this.target = target;
     DecisionLog log = new DecisionLog(clock, Integer.MAX_VALUE, this::onLine);
     RequestMetrics metrics = new RequestMetrics();
     UnknownFields unknown = new UnknownFields(log);
+    MetricsPage page = new MetricsPage(metrics, new StoreCallMetrics(), unknown, log);
+    this.page = page;
+    this.stop = new StopProgress(clock, settings(pipelinedRequests).stopPolicy());
     this.server =
         new GatewayServer(
-            settings(),
+            settings(pipelinedRequests),
             state,
             this::readClock,
             log,
             metrics,
             this::decode,
             unknown,
-            new MetricsPage(metrics, new StoreCallMetrics(), unknown, log),
+            page,
             new SharedKey("a-key-of-at-least-sixteen-bytes"),
             () -> true,
-            new StopProgress(clock, settings().stopPolicy()),
+            stop,
             Dispatcher::submit,
             new BufferBudget(BUDGET_BYTES));
     server.start();
   }
 
-  private static GatewaySettings settings() {
+  private static GatewaySettings settings(int pipelinedRequests) {
     InetSocketAddress anyPort = new InetSocketAddress("127.0.0.1", 0);
     return new GatewaySettings(
         "one",
@@ -122,6 +132,7 @@
         5_000,
         1_000,
         10_000,
+        pipelinedRequests,
         List.of());
   }
 
@@ -301,6 +312,26 @@
     return server.bufferedBytes();
   }
 
+  /** Begins a stop, in which requests that end in time are still taken. */
+  void beginStop() {
+    stop.begin();
+  }
+
+  /** Closes connections without a request in progress, as in a stop. */
+  void closeIdleConnections() {
+    server.closeIdleConnections();
+  }
+
+  /** Returns the value of a metric without labels. */
+  long metric(String name) {
+    return new String(page.render(), StandardCharsets.UTF_8)
+        .lines()
+        .filter(line -> line.startsWith(name + " "))
+        .map(line -> Math.round(Double.parseDouble(line.substring(name.length() + 1))))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Ends all requests in progress, as at the end of a stop. */
   void endRequests() {
     server.endRequests();
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/ArrivalBounds.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/ArrivalBounds.java
@@ -33,6 +33,11 @@
     empty = empty.latest(at);
   }
 
+  /** Returns the last moment at which the connection is known to have held no byte. */
+  UpperTime empty() {
+    return empty;
+  }
+
   /**
    * Bytes were read.
    *
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -8,6 +8,8 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
@@ -20,23 +22,19 @@
  * <p>The server reads an HTTP/1.1 connection only between requests, so it would notice a caller
  * that went away when it writes the answer, which is too late to cancel anything. The watch reads
  * ahead: an end of the stream means that the caller is gone; bytes of a next request are held until
- * the server asks for them.
+ * the server asks for them, or handled ahead, see {@link Pipeline}.
  *
  * @since 0.1
  */
-public final class CallerEndPoint extends SocketChannelEndPoint {
-
-  private static final int FIRST_HELD_BYTES = 1024;
-
-  /** Bytes of next requests that are read ahead, to find the end of the stream behind them. */
-  private static final int MAX_HELD_BYTES = 64 * 1024;
+public final class CallerEndPoint extends SocketChannelEndPoint implements WatchedEndPoint {
 
   private final Executor executor;
   private final MillisClock clock;
   private final PolledSelector selector;
   private final ArrivalBounds arrivals;
+  private final Pipeline pipeline;
   private final Object lock = new Object();
-  private ByteBuffer held = BufferUtil.allocate(FIRST_HELD_BYTES);
+  private final HeldBytes held = new HeldBytes();
   private boolean watching;
   private boolean endSeen;
   private Callback reader;
@@ -52,85 +50,100 @@
       Scheduler scheduler,
       Executor executor,
       MillisClock clock,
-      UpperTime acceptedAfter) {
+      UpperTime acceptedAfter,
+      PipelineLimits limits) {
     super(channel, selector, key, scheduler);
     this.executor = executor;
     this.clock = clock;
     this.selector = selector;
     this.arrivals = new ArrivalBounds(acceptedAfter);
+    this.pipeline = new Pipeline(this, lock, executor, scheduler, limits);
   }
 
-  /**
-   * Returns a moment before which no byte of a request had arrived, however late it was accepted or
-   * read.
-   *
-   * @param firstByteNs when its first byte was parsed; a reading of the nanosecond clock
-   * @return {@link UpperTime#NEVER} if that is not known; never null
-   */
+  @Override
   public UpperTime arrivedAfter(long firstByteNs) {
     synchronized (lock) {
-      return arrivals.arrivedAfter(firstByteNs);
+      UpperTime byRead = arrivals.arrivedAfter(firstByteNs);
+      return pipeline.frontArrival().orElse(byRead);
     }
   }
 
+  @Override
+  public EndPoint connection() {
+    return this;
+  }
+
+  @Override
+  public boolean claimLast() {
+    return pipeline.claimLast(this);
+  }
+
   /**
-   * Looks whether the caller has ended the stream, also if nobody has been told of it yet. Reads
-   * only what nobody else waits for, so it can tell nothing of a connection that is not watched.
-   *
-   * @return false if the caller is gone
+   * {@inheritDoc} Reads only what nobody else waits for, so it can tell nothing of a connection
+   * that is not watched.
    */
+  @Override
   public boolean isCallerPresent() {
+    boolean hasMore;
+    boolean present;
     synchronized (lock) {
-      if (watching && reader == null && !endSeen) {
-        readToEnd();
-      }
-      return !endSeen && isOpen();
+      hasMore = watching && reader == null && !endSeen && readToEnd() > 0;
+      present = !endSeen && isOpen();
+    }
+    if (hasMore && pipeline.isOn()) {
+      pipeline.readAheadLater();
     }
+    return present;
   }
 
   /** Reads what is there; the end of the stream may lie behind bytes of next requests. */
-  private void readToEnd() {
+  private int readToEnd() {
+    int all = 0;
     try {
       int read = 1;
-      while (read > 0 && makeRoom()) {
-        read = read(held);
+      while (read > 0 && held.makeRoom()) {
+        read = readHeld();
+        all += Math.max(0, read);
       }
       endSeen |= read < 0;
     } catch (IOException broken) {
       endSeen = true;
     }
+    return all;
   }
 
-  /** Tells whether more may be held; the buffer grows up to its bound. */
-  private boolean makeRoom() {
-    if (!hasRoom(held) && held.capacity() < MAX_HELD_BYTES) {
-      ByteBuffer larger = BufferUtil.allocate(2 * held.capacity());
-      BufferUtil.append(larger, held);
-      held = larger;
-    }
-    return hasRoom(held);
+  private int readHeld() throws IOException {
+    int read = read(held.buffer());
+    pipeline.onHeld(read, arrivals.empty());
+    return read;
   }
 
-  /**
-   * Watches the connection until the server reads from it again.
-   *
-   * @param callback called at most once, if the caller goes away first; not null
-   */
+  /** Lets requests be taken from the bytes that are held; under the lock. */
+  <T> T takeHeld(Function<ByteBuffer, T> taker) {
+    return held.take(taker);
+  }
+
+  /** Watches the connection until the server reads from it again. */
+  @Override
   public void watch(Runnable callback) {
     boolean gone;
+    boolean hasMore;
     synchronized (lock) {
       onGone = callback;
       gone = endSeen;
+      hasMore = pipeline.isInProgress() && !held.isEmpty();
       if (!endSeen) {
         beginWatching();
       }
     }
     if (gone) {
       callback.run();
+    } else if (hasMore) {
+      pipeline.readAheadLater();
     }
   }
 
-  /** Stops telling; called when the request has its outcome. */
+  @Override
   public void unwatch() {
     synchronized (lock) {
       onGone = () -> {};
@@ -140,25 +153,60 @@
   @Override
   public int fill(ByteBuffer buffer) throws IOException {
     synchronized (lock) {
-      if (BufferUtil.hasContent(held)) {
-        return takeHeld(buffer);
+      if (pipeline.isOn()) {
+        return fillInTurn(buffer);
+      }
+      if (!held.isEmpty()) {
+        return takeHeld(from -> BufferUtil.append(buffer, from));
       }
       return endSeen ? -1 : read(buffer);
     }
   }
 
-  private int takeHeld(ByteBuffer buffer) {
-    int taken = BufferUtil.append(buffer, held);
-    if (!BufferUtil.hasContent(held) && held.capacity() > FIRST_HELD_BYTES) {
-      held = BufferUtil.allocate(FIRST_HELD_BYTES);
+  /** Gives the server no byte while others have their turn, and never more than one request. */
+  private int fillInTurn(ByteBuffer buffer) throws IOException {
+    pipeline.onFrontAnswered();
+    if (!pipeline.isEmpty()) {
+      return 0;
+    }
+    if (held.isEmpty()) {
+      if (endSeen) {
+        return -1;
+      }
+      if (pipeline.isCut()) {
+        return discard();
+      }
+      if (pipeline.belongsToLast(buffer.capacity())) {
+        int read = read(buffer);
+        pipeline.onPassed(Math.max(0, read));
+        return read;
+      }
+      held.makeRoom();
+      int read = readHeld();
+      endSeen |= read < 0;
+      if (read <= 0) {
+        return read;
+      }
+    }
+    return takeHeld(from -> pipeline.pass(from, buffer));
+  }
+
+  /** Reads to the end: a close with bytes unread could destroy responses on their way. */
+  private int discard() throws IOException {
+    int read = 1;
+    while (read > 0) {
+      held.clear();
+      read = read(held.buffer());
     }
-    return taken;
+    held.clear();
+    endSeen |= read < 0;
+    return read;
   }
 
   private int read(ByteBuffer buffer) throws IOException {
     UpperTime now = clock.upper();
     long nowNs = NanoTime.now();
-    boolean hadRoom = hasRoom(buffer);
+    boolean hadRoom = HeldBytes.hasRoom(buffer);
     int read = super.fill(buffer);
     if (read == 0 && hadRoom) {
       arrivals.onEmpty(now);
@@ -187,13 +235,9 @@
     }
   }
 
-  private static boolean hasRoom(ByteBuffer buffer) {
-    return !BufferUtil.hasContent(buffer) || BufferUtil.space(buffer) > 0;
-  }
-
   /** Bytes of next requests may come before the end: it goes on while there is room for them. */
   private void beginWatching() {
-    if (!watching && makeRoom()) {
+    if (!watching && held.makeRoom()) {
       watching = true;
       boolean begun = super.tryFillInterested(new Watch());
       watching &= begun;
@@ -215,14 +259,19 @@
   @Override
   public boolean isFillInterested() {
     synchronized (lock) {
-      return watching ? reader != null : super.isFillInterested();
+      return pipeline.isParked() || (watching ? reader != null : super.isFillInterested());
     }
   }
 
   /** Returns whether the reader will be called by the watch or from what it has read. */
   private boolean takeInterest(Callback callback) {
     synchronized (lock) {
-      if (BufferUtil.hasContent(held) || endSeen) {
+      if (pipeline.park(callback)) {
+        beginWatching();
+        pipeline.giveTurnLater();
+        return true;
+      }
+      if (!held.isEmpty() || endSeen) {
         executor.execute(callback::succeeded);
         return true;
       }
@@ -236,19 +285,19 @@
 
   private void onReadable() {
     Callback waiting;
-    Runnable gone = () -> {};
+    Runnable then = () -> {};
     synchronized (lock) {
       watching = false;
       waiting = reader;
       reader = null;
       if (waiting == null) {
-        gone = readAhead();
+        then = readAhead();
       }
     }
     if (waiting != null) {
       waiting.succeeded();
     }
-    gone.run();
+    then.run();
   }
 
   private Runnable readAhead() {
@@ -256,7 +305,27 @@
     if (!endSeen) {
       beginWatching();
     }
-    return endSeen ? onGone : () -> {};
+    return endSeen ? goneListener() : pipeline::readAhead;
+  }
+
+  /** Returns whether the caller has ended the stream; under the lock. */
+  boolean isEndSeen() {
+    return endSeen;
+  }
+
+  /** Goes on watching, if that ended for want of room; under the lock. */
+  void watchOn() {
+    if (!endSeen && pipeline.isInProgress()) {
+      beginWatching();
+    }
+  }
+
+  private Runnable goneListener() {
+    Runnable front = onGone;
+    return () -> {
+      front.run();
+      pipeline.tellGone();
+    };
   }
 
   private void onWatchFailed(Throwable cause) {
@@ -266,7 +335,7 @@
       watching = false;
       waiting = reader;
       reader = null;
-      gone = waiting == null && !(cause instanceof TimeoutException) ? onGone : () -> {};
+      gone = waiting == null && !(cause instanceof TimeoutException) ? goneListener() : () -> {};
     }
     if (waiting != null) {
       waiting.failed(cause);
@@ -274,8 +343,32 @@
     tell(gone);
   }
 
+  /** A connection is not idle while its requests are in progress, unless the caller reads none. */
+  @Override
+  protected void onIdleExpired(TimeoutException timeout) {
+    boolean busy;
+    synchronized (lock) {
+      busy = !pipeline.isEmpty();
+    }
+    if (!busy || getWriteFlusher().isPending()) {
+      super.onIdleExpired(timeout);
+    }
+  }
+
+  @Override
+  protected void doShutdownOutput() {
+    super.doShutdownOutput();
+    pipeline.onConnectionEnd();
+  }
+
+  @Override
+  public void doClose() {
+    super.doClose();
+    pipeline.onConnectionEnd();
+  }
+
   /** A close may be noticed within a read, whose lock the listener must not hold. */
-  private void tell(Runnable gone) {
+  void tell(Runnable gone) {
     if (Thread.holdsLock(lock)) {
       executor.execute(gone);
     } else {
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/WatchingConnector.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/WatchingConnector.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.WeakHashMap;
 import java.util.concurrent.Executor;
+import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
@@ -32,6 +33,8 @@
   private static final int NO_ACCEPTORS = 0;
 
   private final MillisClock clock;
+  private final ReadAheadCounts readAhead = new ReadAheadCounts();
+  private final PipelineLimits limits;
   private final Map<SelectableChannel, UpperTime> acceptedAfter =
       Collections.synchronizedMap(new WeakHashMap<>());
   private volatile UpperTime nothingToAccept = UpperTime.NEVER;
@@ -44,8 +47,52 @@
    * @param protocols what callers may speak, the first one by default; not null
    */
   public WatchingConnector(Server server, MillisClock clock, ConnectionFactory... protocols) {
+    this(server, clock, 0, protocols);
+  }
+
+  /**
+   * Creates a connector that handles requests before earlier ones of their connection are answered.
+   *
+   * @param server the server that it belongs to; not null
+   * @param clock the time; not null
+   * @param maxReadAhead how many requests of a connection are handled behind the first one; 0 for
+   *     none. If it is above 0, callers may speak HTTP/1.1 only
+   * @param protocols what callers may speak, the first one by default; not null
+   */
+  public WatchingConnector(
+      Server server, MillisClock clock, int maxReadAhead, ConnectionFactory... protocols) {
     super(server, NO_ACCEPTORS, 1, protocols);
     this.clock = clock;
+    this.limits = new PipelineLimits(maxReadAhead, readAhead, this::handleAhead);
+  }
+
+  /** The server reads, parses and handles the request at once. */
+  private void handleAhead(ReadAheadEndPoint endPoint) {
+    Connection connection = getDefaultConnectionFactory().newConnection(this, endPoint);
+    endPoint.setConnection(connection);
+    if (connection instanceof Runnable reading) {
+      reading.run();
+    } else {
+      throw new IllegalStateException("the protocol cannot be read ahead: " + connection);
+    }
+  }
+
+  /**
+   * Returns how many requests were handled before earlier ones of their connection were answered.
+   *
+   * @return at least 0, since the start
+   */
+  public long readAheadTotal() {
+    return readAhead.total();
+  }
+
+  /**
+   * Returns how many such requests are not answered yet.
+   *
+   * @return at least 0
+   */
+  public int readAheadInProgress() {
+    return readAhead.inProgress();
   }
 
   /** Nobody can have connected before there is a port. */
@@ -73,7 +120,8 @@
             getScheduler(),
             getExecutor(),
             clock,
-            after == null ? UpperTime.NEVER : after);
+            after == null ? UpperTime.NEVER : after,
+            limits);
     endPoint.setIdleTimeout(getIdleTimeout());
     return endPoint;
   }
