--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/PipelinedRequestsTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/PipelinedRequestsTest.java
@@ -88,14 +88,14 @@
 
   /** Waits until the gateway has read all that was sent on a connection behind a slow request. */
   private Call slowFront() throws Exception {
-    Call call = gateway.connect().write(get("slow-front"));
+    final Call call = gateway.connect().write(get("slow-front"));
     awaitArrival("slow-front");
     return call;
   }
 
   @Test
   void slowRequestDelaysNoLaterOne() throws Exception {
-    Call call = slowFront().write(get("second") + get("third"));
+    final Call call = slowFront().write(get("second") + get("third"));
     awaitArrival("second");
     awaitArrival("third");
     release("slow-front");
@@ -109,7 +109,7 @@
 
   @Test
   void requestsThatCameInOnePieceAreHandledAtOnce() throws Exception {
-    Call call = gateway.connect().write(get("slow-a") + get("slow-b") + get("slow-c"));
+    final Call call = gateway.connect().write(get("slow-a") + get("slow-b") + get("slow-c"));
     awaitArrival("slow-a");
     awaitArrival("slow-b");
     awaitArrival("slow-c");
@@ -139,7 +139,7 @@
     for (int i = 0; i < 3 * READ_AHEAD; i++) {
       all.append(get("slow-" + i));
     }
-    Call call = gateway.connect().write(all.toString());
+    final Call call = gateway.connect().write(all.toString());
     for (int i = 0; i <= READ_AHEAD; i++) {
       awaitArrival("slow-" + i);
     }
@@ -153,8 +153,8 @@
   }
 
   @Test
-  void nothingIsReadAheadBehindARequestThatIsNotSafe() throws Exception {
-    Call call = slowFront().write(get("second") + post("slow-post") + get("behind"));
+  void nothingIsReadAheadBehindUnsafeRequests() throws Exception {
+    final Call call = slowFront().write(get("second") + post("slow-post") + get("behind"));
     awaitArrival("second");
     release("slow-front");
     assertThat(call.body()).isEqualTo("slow-front");
@@ -169,8 +169,8 @@
   }
 
   @Test
-  void requestsBehindABodyAreReadAheadAgain() throws Exception {
-    Call call = gateway.connect().write(post("post") + get("slow-a") + get("b"));
+  void requestsBehindBodiesAreReadAheadAgain() throws Exception {
+    final Call call = gateway.connect().write(post("post") + get("slow-a") + get("b"));
     awaitArrival("slow-a");
     awaitArrival("b");
     release("slow-a");
@@ -181,7 +181,7 @@
 
   @Test
   void callerThatLeavesEndsAllItsRequests() throws Exception {
-    Call call = slowFront().write(get("slow-a") + get("slow-b"));
+    final Call call = slowFront().write(get("slow-a") + get("slow-b"));
     awaitArrival("slow-a");
     awaitArrival("slow-b");
     call.close();
@@ -193,7 +193,7 @@
 
   @Test
   void malformedRequestEndsTheConnectionAfterEarlierResponses() throws Exception {
-    Call call = slowFront().write(get("slow-a") + "GET /files/ HTTP/1.1\nHost files\r\n\r\n");
+    final Call call = slowFront().write(get("slow-a") + "GET /files/ HTTP/1.1\nHost files\r\n\r\n");
     call.write(get("behind"));
     awaitArrival("slow-a");
     release("slow-a");
@@ -208,7 +208,8 @@
   /** A head that the strict grammar takes and the server does not: there is no host. */
   @Test
   void requestThatTheServerRejectsEndsTheConnection() throws Exception {
-    Call call = slowFront().write(get("a") + "GET /files/ HTTP/1.1\r\nX: y\r\n\r\n" + get("b"));
+    final Call call =
+        slowFront().write(get("a") + "GET /files/ HTTP/1.1\r\nX: y\r\n\r\n" + get("b"));
     awaitArrival("a");
     release("slow-front");
     assertThat(call.body()).isEqualTo("slow-front");
@@ -221,7 +222,7 @@
   @Test
   void requestBehindOneThatClosesTheConnectionIsNotRead() throws Exception {
     String closing = get("closing").replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
-    Call call = slowFront().write(closing + get("behind"));
+    final Call call = slowFront().write(closing + get("behind"));
     release("slow-front");
     assertThat(call.body()).isEqualTo("slow-front");
     assertThat(call.body()).isEqualTo("closing");
@@ -247,8 +248,8 @@
   }
 
   @Test
-  void largeResponsesKeepTheirOrderWithAReaderThatWaits() throws Exception {
-    Call call = slowFront().write(get("large-a") + get("b") + get("large-c"));
+  void largeResponsesKeepTheirOrderWithSlowReaders() throws Exception {
+    final Call call = slowFront().write(get("large-a") + get("b") + get("large-c"));
     awaitArrival("large-a");
     awaitArrival("b");
     awaitArrival("large-c");
@@ -271,7 +272,7 @@
     for (int i = 0; i < count; i++) {
       all.append(get("large-" + i));
     }
-    Call call = gateway.connect().write(all.toString());
+    final Call call = gateway.connect().write(all.toString());
     for (int i = 0; i <= READ_AHEAD; i++) {
       awaitArrival("large-" + i);
     }
@@ -287,7 +288,7 @@
 
   @Test
   void stopAnswersRequestsThatWereReadAhead() throws Exception {
-    Call call = slowFront().write(get("slow-a") + get("slow-b"));
+    final Call call = slowFront().write(get("slow-a") + get("slow-b"));
     awaitArrival("slow-a");
     awaitArrival("slow-b");
     gateway.beginStop();
@@ -303,8 +304,8 @@
   }
 
   @Test
-  void endOfAStopAnswersAllRequestsThatWereReadAhead() throws Exception {
-    Call call = slowFront().write(get("slow-a") + get("slow-b"));
+  void lastStepOfStopsAnswersAllRequestsThatWereReadAhead() throws Exception {
+    final Call call = slowFront().write(get("slow-a") + get("slow-b"));
     awaitArrival("slow-a");
     awaitArrival("slow-b");
     gateway.endRequests();
@@ -316,7 +317,7 @@
 
   @Test
   void timeInTheGatewayCountsForRequestsThatWait() throws Exception {
-    Call call = slowFront();
+    final Call call = slowFront();
     gateway.blockCallerThreads();
     call.write(get("second"));
     gateway.advance(2_000);
@@ -380,7 +381,7 @@
 
   /** Bytes of a body must not be taken for requests. */
   @Test
-  void bodyThatLooksLikeARequestIsNone() throws Exception {
+  void bodyThatLooksLikeOneMoreRequestIsNone() throws Exception {
     String inner = get("inner");
     int length = inner.getBytes(StandardCharsets.ISO_8859_1).length;
     String outer =
@@ -389,7 +390,7 @@
             + length
             + "\r\n\r\n"
             + inner;
-    Call call = slowFront().write(outer + get("behind"));
+    final Call call = slowFront().write(outer + get("behind"));
     release("slow-front");
     assertThat(call.body()).isEqualTo("slow-front");
     awaitArrival("slow-outer");
