--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/RelayGateway.java
@@ -128,6 +128,7 @@
         5_000,
         STOP_NOTICE_MS,
         STOP_LIMIT_MS,
+        0,
         List.of());
   }
 
