Run no timer and no client of peers that nothing needs

Cause: ReachMonitor woke every 50 ms in every process, also with nothing sent and no trouble known; the client for peers started four threads and a selector at every start, though only a lost path needs it. Change: ReachMonitor asks TargetReach when a probe may be due and sets a timer only then: at once while the path is lost, a target is unreachable or trouble is recent, else when requests that wait turn silent. PeerClient starts the client for peers at its first use. A process at rest has no timer of its own for reach; a probe is due no later than before.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/reach/TargetReach.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/reach/TargetReach.java
@@ -153,7 +153,7 @@
    * @param nowMs the current time; milliseconds
    */
   public void onProbeConnected(TargetId target, long nowMs) {
-    onProbeEnded(target);
+    find(target).ifPresent(TargetPath::onProbeEnded);
     connectedMs = Math.max(connectedMs, nowMs);
     find(target).ifPresent(path -> path.onConnected(nowMs));
     if (isLost()) {
@@ -170,12 +170,8 @@
    * @param nowMs the current time; milliseconds
    */
   public void onProbeFailed(TargetId target, ConnectFailure failure, long nowMs) {
-    onProbeEnded(target);
-    onConnectFailed(target, failure, nowMs);
-  }
-
-  private void onProbeEnded(TargetId target) {
     find(target).ifPresent(TargetPath::onProbeEnded);
+    onConnectFailed(target, failure, nowMs);
   }
 
   /**
@@ -249,6 +245,20 @@
     return paths.size();
   }
 
+  /**
+   * Returns when probes may be due at the earliest, unless something is recorded before.
+   *
+   * @param nowMs the current time; milliseconds
+   * @return milliseconds, perhaps in the past; empty if none will be
+   */
+  public OptionalLong nextCheckMs(long nowMs) {
+    if (isLost() || nowMs - troubleMs <= WINDOW_MS) {
+      return OptionalLong.of(nowMs);
+    }
+    long silentMs = Math.max(answeredMs, connectedMs) + SILENCE_MS;
+    return waiting > 0 ? OptionalLong.of(silentMs) : OptionalLong.empty();
+  }
+
   /**
    * Returns the targets to probe now, and counts them as being probed.
    *
@@ -330,16 +340,14 @@
     paths.entrySet().stream()
         .filter(entry -> !entry.getValue().isProbing() && !chosen.contains(entry.getKey()))
         .filter(entry -> due.test(entry.getValue()))
-        .sorted(Map.Entry.<TargetId, TargetPath>comparingByValue(order).thenComparing(byId()))
+        .sorted(
+            Map.Entry.<TargetId, TargetPath>comparingByValue(order)
+                .thenComparing(Map.Entry.comparingByKey()))
         .limit(Math.max(0, limit - chosen.size()))
         .map(Map.Entry::getKey)
         .forEach(chosen::add);
   }
 
-  private static Comparator<Map.Entry<TargetId, TargetPath>> byId() {
-    return Map.Entry.comparingByKey();
-  }
-
   /** Returns the targets to which connections failed lately, with none that succeeded since. */
   private List<TargetPath> failedTogether(long nowMs) {
     return paths.values().stream()
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
@@ -5,7 +5,6 @@
 import io.cuminvalve.core.fleet.RelayPeerSelector;
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.kernel.MillisClock;
-import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetRequest;
 import java.util.Optional;
 import java.util.Set;
@@ -19,7 +18,7 @@
 final class PeerRelay {
 
   private final RoutingState state;
-  private final TargetClient client;
+  private final PeerClient client;
   private final RelayToken token;
   private final MillisClock clock;
   private final RandomGenerator random;
@@ -27,7 +26,7 @@
 
   PeerRelay(
       RoutingState state,
-      TargetClient client,
+      PeerClient client,
       RelayToken token,
       DataCentreId dataCentre,
       MillisClock clock,
@@ -61,7 +60,13 @@
     return selected.map(
         peer ->
             new PeerAttempt(
-                services, client, call, peer, id, request(call, machine, peer, id), listener));
+                services,
+                client.get(),
+                call,
+                peer,
+                id,
+                request(call, machine, peer, id),
+                listener));
   }
 
   /** Selects a peer only after all others for a while. */
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ReachMonitor.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/ReachMonitor.java
@@ -24,9 +24,11 @@
  */
 public final class ReachMonitor implements ReachSignals {
 
-  /** Interval between two checks whether a probe is due. */
+  /** Shortest interval between two checks whether a probe is due. */
   private static final long CHECK_INTERVAL_MS = 50;
 
+  private static final long NOT_SCHEDULED = Long.MAX_VALUE;
+
   private final RoutingState state;
   private final TargetProbe probe;
   private final Timers timers;
@@ -37,6 +39,8 @@
   private volatile boolean allReachable = true;
   private OptionalLong loggedLostSinceMs = OptionalLong.empty();
   private String lastFailure = "-";
+  private Timers.Cancellable checkTimer = () -> {};
+  private long checkDueMs = NOT_SCHEDULED;
 
   ReachMonitor(
       RoutingState state, TargetProbe probe, Timers timers, MillisClock clock, DecisionLog log) {
@@ -46,7 +50,6 @@
     this.clock = clock;
     this.log = log;
     state.onChange(this::onRoutingChanged);
-    timers.schedule(this::check, CHECK_INTERVAL_MS);
   }
 
   /**
@@ -107,7 +110,9 @@
   @Override
   public void onSent(TargetId target) {
     synchronized (reach) {
-      reach.onSent(target, clock.nowMs());
+      long nowMs = clock.nowMs();
+      reach.onSent(target, nowMs);
+      scheduleCheck(nowMs);
     }
   }
 
@@ -128,7 +133,9 @@
   @Override
   public void onDoubt(TargetId target) {
     synchronized (reach) {
-      reach.onDoubt(target, clock.nowMs());
+      long nowMs = clock.nowMs();
+      reach.onDoubt(target, nowMs);
+      scheduleCheck(nowMs);
     }
   }
 
@@ -153,13 +160,34 @@
     List<TargetId> ids = state.current().targets().stream().map(FleetTarget::id).toList();
     synchronized (reach) {
       reach.setTargets(ids);
+      scheduleCheck(clock.nowMs());
+    }
+  }
+
+  /**
+   * Schedules the next check if one may have something to do: a gateway at rest that reaches all
+   * targets has no timer. Called with the lock held.
+   */
+  private void scheduleCheck(long nowMs) {
+    OptionalLong next = allReachable ? reach.nextCheckMs(nowMs) : OptionalLong.of(nowMs);
+    if (next.isEmpty()) {
+      return;
+    }
+    long dueMs = Math.max(next.getAsLong(), nowMs + CHECK_INTERVAL_MS);
+    if (dueMs < checkDueMs) {
+      checkTimer.cancel();
+      checkDueMs = dueMs;
+      checkTimer = timers.schedule(() -> check(dueMs), dueMs - nowMs);
     }
   }
 
-  private void check() {
-    timers.schedule(this::check, CHECK_INTERVAL_MS);
+  private void check(long scheduledForMs) {
     List<TargetId> due;
     synchronized (reach) {
+      if (scheduledForMs != checkDueMs) {
+        return;
+      }
+      checkDueMs = NOT_SCHEDULED;
       due = reach.takeProbes(clock.nowMs());
     }
     due.forEach(this::probe);
@@ -190,7 +218,7 @@
     reach.onProbeFailed(target, failure, nowMs);
   }
 
-  /** Tells the listeners if the path was lost or is back since the last call. */
+  /** Tells the listeners if the path was lost or is back since, and schedules the next check. */
   private void publish() {
     boolean changed;
     synchronized (reach) {
@@ -200,6 +228,7 @@
         logChange();
         loggedLostSinceMs = reach.lostSinceMs();
       }
+      scheduleCheck(clock.nowMs());
     }
     if (changed) {
       listeners.forEach(Runnable::run);
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/ReachMonitorTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/ReachMonitorTest.java
@@ -30,6 +30,7 @@
   private final Set<String> listening = new HashSet<>();
   private int probes;
   private int changes;
+  private int timersSet;
   private ReachMonitor reach;
 
   @BeforeEach
@@ -42,6 +43,7 @@
               onDone.accept(listening.contains(address) ? TargetProbe.Finding.LISTENING : finding);
             },
             (task, delayMs) -> {
+              timersSet++;
               clock.schedule(delayMs, task);
               return () -> {};
             },
@@ -75,6 +77,37 @@
     assertThat(reach.share()).isEqualTo(new ReachShare(TARGETS, 0));
   }
 
+  /** Every process pays for a timer that runs all the time. */
+  @Test
+  void noTimerRunsWhileNothingIsSentAndAllIsWell() {
+    clock.advance(10_000);
+    assertThat(timersSet).isEqualTo(0);
+    reach.onSent(targets.get(0).id());
+    reach.onAnswer(targets.get(0).id());
+    reach.onEnded(targets.get(0).id());
+    clock.advance(10_000);
+    assertThat(timersSet).isEqualTo(1);
+  }
+
+  @Test
+  void timerEndsSomeTimeAfterTroubleThatLeftNothing() {
+    finding = TargetProbe.Finding.LISTENING;
+    refuse(0);
+    clock.advance(5_000);
+    int before = timersSet;
+    clock.advance(10_000);
+    assertThat(timersSet).isEqualTo(before);
+  }
+
+  @Test
+  void silentTargetIsProbedHoweverLongNothingWasSentBefore() {
+    finding = TargetProbe.Finding.LISTENING;
+    clock.advance(60_000);
+    reach.onSent(targets.get(0).id());
+    clock.advance(400);
+    assertThat(probes).isEqualTo(1);
+  }
+
   /** One refused connection is enough: probes of other targets tell the rest. */
   @Test
   void pathIsLostAfterOneRefusedConnectionIfProbesFailToo() {
