--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
@@ -8,7 +8,6 @@
 import io.cuminvalve.core.stop.StopPolicy;
 import io.cuminvalve.kernel.MillisClock;
 import io.cuminvalve.kernel.UpperTime;
-import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetRequest;
 import java.util.Optional;
 import java.util.Set;
@@ -22,7 +21,7 @@
 final class PeerRelay {
 
   private final RoutingState state;
-  private final TargetClient client;
+  private final PeerClient client;
   private final RelayToken token;
   private final MillisClock clock;
   private final RandomGenerator random;
@@ -30,7 +29,7 @@
 
   PeerRelay(
       RoutingState state,
-      TargetClient client,
+      PeerClient client,
       RelayToken token,
       DataCentreId dataCentre,
       MillisClock clock,
@@ -70,7 +69,13 @@
     return selected.map(
         peer ->
             new PeerAttempt(
-                services, client, call, peer, id, request(call, machine, peer, id), listener));
+                services,
+                client.get(),
+                call,
+                peer,
+                id,
+                request(call, machine, peer, id),
+                listener));
   }
 
   /** Selects a peer only after all others for a while. */
