Pace targets only where their places are scarce

Cause: the pace acted at any number of gateways; with few of them, each limit is small beside the places of a target, and earlier deployments are to be served as before. Change: targets without scarce places are not paced; the rule for requests that leave their data centre goes, since nothing uses it yet.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/locality/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Whether requests leave their data centre. */
-package io.cuminvalve.core.locality;
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -270,7 +270,7 @@
         reach::unreachableCount);
     page.addGauge(
         "cuminvalve_paced_targets",
-        "Targets that have started or recovered and get a share of their requests.",
+        "Targets with scarce places that have started or recovered and get a share of their requests.",
         paces::size);
     page.addGauge(
         "cuminvalve_resting_targets",
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PacedTargets.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PacedTargets.java
@@ -4,9 +4,9 @@
 import io.cuminvalve.core.id.ServiceId;
 import io.cuminvalve.core.pace.PaceStep;
 import io.cuminvalve.core.pace.TargetPaces;
+import io.cuminvalve.core.sharing.ScarcePlaces;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.kernel.MillisClock;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,7 +17,8 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Tells {@link TargetPaces} which targets there are and how they answer, and logs its steps.
+ * Tells {@link TargetPaces} which targets with scarce places there are and how they answer, and
+ * logs its steps.
  *
  * <p>Load: many targets start at once, and many requests a second ask for their shares. Without a
  * paced target no lock is taken. Thread-safe.
@@ -96,18 +97,20 @@
       }
       lastTargets = snapshot.targets();
       lastProcesses = snapshot.processes();
-      paces.onTargets(readyTargets(snapshot), lastProcesses, clock.nowMs());
+      paces.onTargets(sharedTargets(snapshot), lastProcesses, clock.nowMs());
       steps = takeSteps();
     }
     write(steps);
   }
 
-  private static List<FleetTarget> readyTargets(RoutingSnapshot snapshot) {
+  /** Few gateways do not flood a target: their limits start small beside its places. */
+  private static List<FleetTarget> sharedTargets(RoutingSnapshot snapshot) {
     Set<ServiceId> services = new HashSet<>();
     snapshot.targets().forEach(target -> services.add(target.service()));
-    List<FleetTarget> ready = new ArrayList<>();
-    services.forEach(service -> ready.addAll(snapshot.ready(service)));
-    return ready;
+    return services.stream()
+        .flatMap(service -> snapshot.ready(service).stream())
+        .filter(target -> ScarcePlaces.isScarce(target.slots(), snapshot.processes()))
+        .toList();
   }
 
   private List<PaceStep> takeSteps() {
