End requests read ahead also when the server fails on them

Cause: an exception of the server within a request that was read ahead would have left its connection without a turn for the requests behind it; a connection that was closed kept the parked call of its server. Change: such a request ends the connection in its turn; the parked call is given back on close.

--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/Pipeline.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/Pipeline.java
@@ -159,7 +159,15 @@
       dispatching = true;
     }
     for (ReadAheadEndPoint next = takeNext(); next != null; next = takeNext()) {
+      handle(next);
+    }
+  }
+
+  private void handle(ReadAheadEndPoint next) {
+    try {
       limits.handler().accept(next);
+    } catch (RuntimeException failed) {
+      next.close(failed);
     }
   }
 
@@ -267,12 +275,18 @@
   /** The connection ends with the response at the front, or is closed. */
   void onConnectionEnd() {
     List<ReadAheadEndPoint> dropped;
+    Callback server;
     synchronized (lock) {
       dropped = dropAll();
+      server = parked;
+      parked = null;
     }
     if (!dropped.isEmpty()) {
       caller.tell(() -> dropped.forEach(ReadAheadEndPoint::abandon));
     }
+    if (server != null) {
+      executor.execute(() -> caller.fillInterested(server));
+    }
   }
 
   private List<ReadAheadEndPoint> dropAll() {
