--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/Pipeline.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/Pipeline.java
@@ -177,17 +177,10 @@
   }
 
   private void handle(ReadAheadEndPoint next) {
-    boolean handled = false;
     try {
       limits.handler().accept(next);
-      handled = true;
-    } finally {
-      if (!handled) {
-        next.close();
-        synchronized (lock) {
-          dispatching = false;
-        }
-      }
+    } catch (RuntimeException failed) {
+      next.close(failed);
     }
   }
 
@@ -295,12 +288,18 @@
   /** The connection ends with the response at the front, or is closed. */
   void onConnectionEnd() {
     List<ReadAheadEndPoint> dropped;
+    Callback server;
     synchronized (lock) {
       dropped = dropAll();
+      server = parked;
+      parked = null;
     }
     if (!dropped.isEmpty()) {
       caller.tell(() -> dropped.forEach(ReadAheadEndPoint::abandon));
     }
+    if (server != null) {
+      executor.execute(() -> caller.fillInterested(server));
+    }
   }
 
   private List<ReadAheadEndPoint> dropAll() {
