--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/GatewayServer.java
@@ -77,7 +77,7 @@
   private final ServerConnector readiness;
   private final Optional<ServerConnector> scrapes;
   private final TargetClient client;
-  private final PeerClient peerClient;
+  private final TargetClient peerClient;
   private final RequestTimers timers = new RequestTimers();
   private final ConnectProbe probe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, 1);
   private final ConnectProbe reachProbe = new ConnectProbe((int) CONNECT_TIMEOUT_MS, REACH_PROBES);
@@ -151,15 +151,14 @@
                 CONNECT_TIMEOUT_MS, TARGET_IDLE_MS, MAX_HEADER_BYTES, TARGET_THREADS, true),
             address -> Integer.MAX_VALUE);
     this.peerClient =
-        new PeerClient(
-            new TargetClient(
-                new TargetClientLimits(
-                    PEER_CONNECT_TIMEOUT_MS,
-                    PEER_IDLE_MS,
-                    MAX_RELAYED_HEADER_BYTES,
-                    PEER_THREADS,
-                    false),
-                address -> Integer.MAX_VALUE));
+        new TargetClient(
+            new TargetClientLimits(
+                PEER_CONNECT_TIMEOUT_MS,
+                PEER_IDLE_MS,
+                MAX_RELAYED_HEADER_BYTES,
+                PEER_THREADS,
+                false),
+            address -> Integer.MAX_VALUE);
     DataCentreId dataCentre = new DataCentreId(settings.dataCentre());
     final RelayToken token = new RelayToken(sharedKey);
     TargetQuotas quotas = new TargetQuotas(clock, log, timers, random.split());
@@ -293,6 +292,7 @@
   /** Opens the ports. */
   public void start() {
     client.start();
+    peerClient.start();
     try {
       server.start();
     } catch (Exception e) {
--- a/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
+++ b/cuminvalve-gateway/src/main/java/io/cuminvalve/gateway/traffic/PeerRelay.java
@@ -5,6 +5,7 @@
 import io.cuminvalve.core.fleet.RelayPeerSelector;
 import io.cuminvalve.core.id.DataCentreId;
 import io.cuminvalve.kernel.MillisClock;
+import io.cuminvalve.router.target.TargetClient;
 import io.cuminvalve.router.target.TargetRequest;
 import java.util.Optional;
 import java.util.Set;
@@ -18,7 +19,7 @@
 final class PeerRelay {
 
   private final RoutingState state;
-  private final PeerClient client;
+  private final TargetClient client;
   private final RelayToken token;
   private final MillisClock clock;
   private final RandomGenerator random;
@@ -26,7 +27,7 @@
 
   PeerRelay(
       RoutingState state,
-      PeerClient client,
+      TargetClient client,
       RelayToken token,
       DataCentreId dataCentre,
       MillisClock clock,
@@ -60,13 +61,7 @@
     return selected.map(
         peer ->
             new PeerAttempt(
-                services,
-                client.get(),
-                call,
-                peer,
-                id,
-                request(call, machine, peer, id),
-                listener));
+                services, client, call, peer, id, request(call, machine, peer, id), listener));
   }
 
   /** Selects a peer only after all others for a while. */
