Call places scarce where an equal part is less than one request

Cause: with the bound at two requests a gateway, eight gateways at targets of two slots would have been decided differently than before, though their parts fit into what the targets hold. Change: places are scarce below one request a gateway, where the smallest parts of all gateways exceed the places; the compiler's thresholds are as before. The tests of the dispatcher follow the joined constructors.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/sharing/ScarcePlaces.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/sharing/ScarcePlaces.java
@@ -12,21 +12,18 @@
   /** Requests allowed at a target by all gateways together, per slot of the target. */
   public static final int REQUESTS_PER_SLOT = 6;
 
-  /** Smallest part with which a gateway can send a request while another one is under way. */
-  private static final int SMALLEST_USEFUL_PART = 2;
-
   private ScarcePlaces() {}
 
   /**
-   * Returns whether an equal part of the target's places is less than two requests a gateway. Below
-   * that, a gateway's own limit tells little of the target's queue: a second request waits for the
-   * first, also if the target is idle.
+   * Returns whether an equal part of the target's places is less than one request a gateway. Each
+   * gateway sends one request at a time at least, so then all gateways together may send more than
+   * the target holds, and a gateway's own limit tells little of the target's queue.
    *
    * @param slots requests that the target runs at the same time; at least 1
    * @param processes gateways that run; at least 1
    * @return whether places are scarce
    */
   public static boolean isScarce(int slots, int processes) {
-    return (long) slots * REQUESTS_PER_SLOT < (long) SMALLEST_USEFUL_PART * processes;
+    return (long) slots * REQUESTS_PER_SLOT < processes;
   }
 }
--- a/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherPaceTest.java
+++ b/cuminvalve-gateway/src/test/java/io/cuminvalve/gateway/traffic/DispatcherPaceTest.java
@@ -8,6 +8,7 @@
 import io.cuminvalve.core.lease.RangeRoute;
 import io.cuminvalve.core.route.Route;
 import io.cuminvalve.core.route.WeightedService;
+import io.cuminvalve.core.waiting.RequestTimes;
 import io.cuminvalve.gateway.observe.DecisionLog;
 import io.cuminvalve.router.request.Timers;
 import io.cuminvalve.testkit.time.VirtualClock;
@@ -112,6 +113,7 @@
         TrafficFixture.SERVICE,
         key,
         0,
+        new RequestTimes(clock.nowMs() + 400, clock.nowMs() + 1_000),
         new SlotRequest.Listener() {
           @Override
           public void onPlaced(Slot slot) {
