--- a/review/lab/Gateways.java
+++ b/review/lab/Gateways.java
@@ -27,10 +27,13 @@
   private static final Pattern SECTION =
       Pattern.compile("\\{\\{#([a-z_.0-9]+)\\}\\}(.*?)\\{\\{/\\1\\}\\}", Pattern.DOTALL);
 
+  private static final int METRICS_PORT = 9_464;
+
   private final Record record;
   private final Path folder;
   private final int storePort;
   private final int count;
+  private final int network;
   private final int[] ports;
   private final Process[] processes;
 
@@ -40,10 +43,29 @@
     this.count = count;
     this.folder = Files.createTempDirectory("gateways");
     this.processes = new Process[count];
+    this.network = freeNetwork();
     this.ports = freePorts(4);
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
+  /** Finds a part of 127.0.0.0/8 in which the port for metrics, which the template sets, is free. */
+  private int freeNetwork() throws IOException {
+    for (int network = 1 + (int) (ProcessHandle.current().pid() % 200); network < 255; network++) {
+      boolean free = true;
+      for (int i = 0; i < count; i++) {
+        try (ServerSocket probe = new ServerSocket()) {
+          probe.bind(new InetSocketAddress("127.0." + network + "." + (i + 1), METRICS_PORT));
+        } catch (IOException taken) {
+          free = false;
+        }
+      }
+      if (free) {
+        return network;
+      }
+    }
+    throw new IOException("port " + METRICS_PORT + " is taken everywhere");
+  }
+
   /** Finds ports that are free at all addresses; the last two follow each other. */
   private int[] freePorts(int wanted) throws IOException {
     List<Integer> found = new ArrayList<>();
@@ -52,7 +74,7 @@
       try (ServerSocket any = new ServerSocket(0)) {
         port = any.getLocalPort();
       }
-      if (port < 60_000 && port != 9_464 && !found.contains(port)) {
+      if (port < 60_000 && port != METRICS_PORT && !found.contains(port)) {
         found.add(port);
       }
     }
@@ -60,7 +82,7 @@
   }
 
   String host(int number) {
-    return "127.0.7." + (number + 1);
+    return "127.0." + network + "." + (number + 1);
   }
 
   int frontPort() {
