Show two owners after one drill of a store whose eras begin with 0

The rise from era 0 to era 1 is taken for the first answer of the store, so no gateway learns that the store came back older.

--- a/review/lab/Store.java
+++ b/review/lab/Store.java
@@ -19,6 +19,10 @@
 
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final long COPY_MS = 250;
+  private static final String ENTRIES = "servers/";
+
+  /** Three heartbeats of 870 ms. */
+  private static final long SILENCE_MS = 2_610;
 
   private record Item(String value, long rev, long created, long lease) {}
 
@@ -33,16 +37,23 @@
   private final Map<String, Item> items = new TreeMap<>();
   private final Map<Long, Lease> leases = new HashMap<>();
   private final List<Event> history = new ArrayList<>();
+  private final Map<String, Long> writtenMs = new HashMap<>();
   private final Deque<Copy> copies = new ArrayDeque<>();
   private long revision = 1;
   private long compactedTo;
   private long nextLease = 1;
-  private long era = 1;
+  private long era;
   private volatile boolean away;
   private volatile boolean closed;
 
   Store(Record record, String host) throws IOException {
+    this(record, host, 1);
+  }
+
+  /** Starts a store whose eras are counted from a number. */
+  Store(Record record, String host, long firstEra) throws IOException {
     this.record = record;
+    this.era = firstEra;
     this.server = new Http.Server(host, 0, this::handle);
     Http.start(this::tick);
   }
@@ -66,6 +77,12 @@
             endLease(lease.getKey());
           }
         }
+        for (String key : new ArrayList<>(items.keySet())) {
+          boolean silent = now - writtenMs.getOrDefault(key, now) > SILENCE_MS;
+          if (!away && key.startsWith(ENTRIES) && silent) {
+            remove(key);
+          }
+        }
         if (!away && now - copiedMs >= COPY_MS) {
           copiedMs = now;
           copies.addLast(new Copy(now, new TreeMap<>(items), new HashMap<>(leases), revision));
@@ -114,6 +131,7 @@
     history.clear();
     compactedTo = revision;
     copies.clear();
+    items.keySet().forEach(key -> writtenMs.put(key, nowMs()));
     era++;
     away = false;
     notifyAll();
@@ -123,6 +141,7 @@
   synchronized void comeBack() {
     record.write("store: back");
     leases.replaceAll((id, lease) -> new Lease(lease.ttlMs(), nowMs() + lease.ttlMs()));
+    items.keySet().forEach(key -> writtenMs.put(key, nowMs()));
     away = false;
   }
 
@@ -156,6 +175,7 @@
   private void write(String key, String value, long lease) {
     revision++;
     Item before = items.get(key);
+    writtenMs.put(key, nowMs());
     Item item = new Item(value, revision, before == null ? revision : before.created(), lease);
     items.put(key, item);
     history.add(new Event(revision, key, item));
