--- a/review/6/FirstEraIsZero.java
+++ b/review/4/FirstEraIsZero.java
@@ -6,7 +6,10 @@
 public final class FirstEraIsZero {
 
   private static final long AWAY_MS = 2_000;
-  private static final long COPY_AGE_MS = 6_400;
+
+  /** How long before the start of the gateways the copy was taken. */
+  private static final long BEFORE_START_MS = 300;
+
   private static final long WATCH_MS = 14_000;
 
   private FirstEraIsZero() {}
@@ -34,6 +37,7 @@
     }
     Owners owners = new Owners(record, instances);
     Store.sleep(1_000);
+    final long startMs = System.currentTimeMillis();
     gateways.startAll();
     if (!Lab.await(30_000, () -> Lab.allHeld(instances))) {
       record.say("the keys were not granted: the case could not run");
@@ -46,7 +50,7 @@
     if (trouble) {
       store.goAway();
       Store.sleep(AWAY_MS);
-      store.comeBackOlder(COPY_AGE_MS);
+      store.comeBackOlder(System.currentTimeMillis() - startMs + BEFORE_START_MS);
       store.put("op/config", Lab.configuration(1));
     }
     Store.sleep(WATCH_MS);
