Show two owners after an address of an earlier run was used again

The next holder takes the answer of another service's instance at the old address of a run for the proof that the leases of that name have ended, while the next run of that name holds them at another address.

--- a/review/lab/Instance.java
+++ b/review/lab/Instance.java
@@ -26,17 +26,25 @@
   private final long[] heldToMs = new long[KEYS];
   private volatile ToLongFunction<Http.Message> workMs = request -> 5;
   private volatile boolean closed;
+  private volatile boolean left;
   private long seq;
 
   Instance(Record record, Store store, String host, String id, String service, boolean sharded, int slots)
       throws IOException {
+    this(record, store, host, 0, id, service, sharded, slots);
+  }
+
+  /** Starts an instance at a port; 0 for any free one. */
+  Instance(
+      Record record, Store store, String host, int port, String id, String service, boolean sharded, int slots)
+      throws IOException {
     this.record = record;
     this.store = store;
     this.id = id;
     this.service = service;
     this.sharded = sharded;
     this.slots = slots;
-    this.server = new Http.Server(host, 0, this::handle);
+    this.server = new Http.Server(host, port, this::handle);
     record.write(id + ": started at port " + server.port());
     Http.start(this::beat);
   }
@@ -45,6 +53,17 @@
     return id;
   }
 
+  int port() {
+    return server.port();
+  }
+
+  /** Takes its entry away, without having reported that it leaves, and goes on serving. */
+  void leave() {
+    left = true;
+    record.write(id + ": its entry is removed, it goes on serving");
+    store.remove("servers/" + id);
+  }
+
   /** Sets how long each request is worked on. */
   void workFor(ToLongFunction<Http.Message> ms) {
     workMs = ms;
@@ -55,7 +74,7 @@
   }
 
   private void beat() {
-    while (!closed) {
+    while (!closed && !left) {
       store.put(
           "servers/" + id,
           String.format(
