Show the owners of an old address after an outage of the store

The case needs no process to be killed: an outage in which leases and entries run out brings about the same change of the holder, and the entry of the instance is back a moment later than the others.

--- a/review/4/OldAddressOfARun.java
+++ b/review/4/OldAddressOfARun.java
@@ -4,14 +4,19 @@
 
 /**
  * An instance has started again under its id at another address, and its former address belongs to
- * another service. Later the gateway that gives the orders is killed while that instance leaves.
+ * another service. Later the store is down for some seconds; leases and entries run out meanwhile.
  */
 public final class OldAddressOfARun {
 
   private static final long RESTART_MS = 1_000;
   private static final long REUSE_AFTER_MS = 2_000;
   private static final long CALM_MS = 6_000;
-  private static final long STILL_SERVES_MS = 6_000;
+  private static final long DOWN_MS = 5_000;
+
+  /** When the entry of the instance is back after the store; the others are back sooner. */
+  private static final long ENTRY_BACK_MS = 1_800;
+
+  private static final long WATCH_MS = 12_000;
 
   private OldAddressOfARun() {}
 
@@ -61,17 +66,13 @@
       }
     }
     Store.sleep(CALM_MS);
-    int holder = gateways.holder();
-    if (trouble) {
-      gateways.kill(holder);
-    }
-    Store.sleep(100);
-    next.leave();
-    Store.sleep(400);
     if (trouble) {
-      gateways.start(holder, false);
+      store.goAway();
+      Store.sleep(DOWN_MS);
+      next.keepSilentFor(ENTRY_BACK_MS);
+      store.comeBackLapsed();
     }
-    Store.sleep(STILL_SERVES_MS);
+    Store.sleep(WATCH_MS);
     for (int i = 0; i < 3; i++) {
       for (String line : gateways.log(i, "event=")) {
         if (line.matches(".*event=(term_|owners_read|keys_taken|target_re|release_ended|keys_evac|foreign).*")) {
--- a/review/lab/Instance.java
+++ b/review/lab/Instance.java
@@ -27,6 +27,7 @@
   private volatile ToLongFunction<Http.Message> workMs = request -> 5;
   private volatile boolean closed;
   private volatile boolean left;
+  private volatile long silentUntilMs;
   private long seq;
 
   Instance(Record record, Store store, String host, String id, String service, boolean sharded, int slots)
@@ -57,6 +58,11 @@
     return server.port();
   }
 
+  /** Writes no entry for a time. */
+  void keepSilentFor(long ms) {
+    silentUntilMs = nowMs() + ms;
+  }
+
   /** Takes its entry away, without having reported that it leaves, and goes on serving. */
   void leave() {
     left = true;
@@ -75,6 +81,11 @@
 
   private void beat() {
     while (!closed && !left) {
+      long quietMs = silentUntilMs - nowMs();
+      if (quietMs > 0) {
+        Store.sleep(Math.min(quietMs, 50));
+        continue;
+      }
       store.put(
           "servers/" + id,
           String.format(
--- a/review/lab/Store.java
+++ b/review/lab/Store.java
@@ -145,6 +145,19 @@
     away = false;
   }
 
+  /** The store comes back; leases and the entries of instances have run out meanwhile. */
+  synchronized void comeBackLapsed() {
+    List.copyOf(leases.keySet()).forEach(this::endLease);
+    for (String key : new ArrayList<>(items.keySet())) {
+      if (key.startsWith(ENTRIES)) {
+        remove(key);
+      }
+    }
+    record.write("store: back, leases and entries have run out");
+    away = false;
+    notifyAll();
+  }
+
   /** Writes for the operator or an instance. Returns false while the store is away. */
   synchronized boolean put(String key, String value) {
     if (away) {
