--- a/review/lab/Lab.java
+++ b/review/4/lab/Lab.java
@@ -6,6 +6,12 @@
 
   static final String HOST = "claims.example";
 
+  /** Exit statuses; run.sh makes 1 of the first, which is none that a JVM that fails has. */
+  static final int BROKEN = 10;
+
+  static final int HELD = 0;
+  static final int NOT_RUN = 2;
+
   private Lab() {}
 
   /** A sharded service for reads and payments, and one without shards for files. */
--- a/review/lab/Record.java
+++ b/review/4/lab/Record.java
@@ -9,8 +9,8 @@
   private final PrintWriter out;
   private final long startNs = System.nanoTime();
 
-  Record(Path folder) throws IOException {
-    this.out = new PrintWriter(Files.newBufferedWriter(folder.resolve("record.txt")));
+  Record(Path file) throws IOException {
+    this.out = new PrintWriter(Files.newBufferedWriter(file));
   }
 
   /** Returns the seconds since the start. */
--- a/review/4/OldAddressOfARun.java
+++ b/review/4/src/OldAddressOfARun.java
@@ -8,10 +8,11 @@
  */
 public final class OldAddressOfARun {
 
+  private static final int INSTANCES = 7;
   private static final long RESTART_MS = 1_000;
   private static final long REUSE_AFTER_MS = 2_000;
   private static final long CALM_MS = 6_000;
-  private static final long DOWN_MS = 5_000;
+  private static final long DOWN_MS = 4_000;
 
   /** When the entry of the instance is back after the store; the others are back sooner. */
   private static final long ENTRY_BACK_MS = 1_800;
@@ -20,15 +21,15 @@
 
   private OldAddressOfARun() {}
 
-  /** Runs the case; the argument is its folder. */
+  /** Runs the case; the argument is the file of its record. */
   public static void main(String[] arguments) throws Exception {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int status = 2;
+    int status = Lab.NOT_RUN;
     try (Record record = new Record(Path.of(arguments[0]));
         Store store = new Store(record, "127.0.0.1");
         Gateways gateways = new Gateways(record, store.port(), 3)) {
       status = run(record, store, gateways, trouble);
-    } catch (Exception failed) {
+    } catch (Throwable failed) {
       failed.printStackTrace();
     }
     System.exit(status);
@@ -38,7 +39,7 @@
       throws Exception {
     store.put("op/config", Lab.configuration(1));
     List<Instance> instances = new CopyOnWriteArrayList<>();
-    for (int i = 1; i <= 3; i++) {
+    for (int i = 1; i <= INSTANCES; i++) {
       instances.add(new Instance(record, store, "127.0.0.1", "i-" + i, "core", true, 4));
     }
     new Instance(record, store, "127.0.0.1", "f-1", "files", false, 4);
@@ -46,7 +47,7 @@
     gateways.startAll();
     if (!Lab.await(30_000, () -> Lab.allHeld(instances))) {
       record.say("the keys were not granted: the case could not run");
-      return 2;
+      return Lab.NOT_RUN;
     }
     Store.sleep(2_000);
     Instance first = instances.get(0);
@@ -62,7 +63,7 @@
       new Instance(record, store, "127.0.0.1", first.port(), "f-2", "files", false, 4);
       if (!Lab.await(20_000, () -> Lab.allHeld(instances))) {
         record.say("the keys were not granted again: the case could not run");
-        return 2;
+        return Lab.NOT_RUN;
       }
     }
     Store.sleep(CALM_MS);
@@ -83,6 +84,6 @@
     record.say("longest time for which two instances held one key: " + owners.describe());
     boolean broken = owners.longestMs() > 500;
     record.say(broken ? "OWNER is broken" : "OWNER held");
-    return broken ? 1 : 0;
+    return broken ? Lab.BROKEN : Lab.HELD;
   }
 }
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -nowarn -d target/review-2 -cp target/cuminvalve-gateway.jar review/lab/*.java $(find review/[4-8] -name '*.java')
+javac -nowarn -d target/review-2 -cp target/cuminvalve-gateway.jar review/4/lab/*.java review/[4-8]/src/*.java
