Write a restarted owner to the record before it is granted keys

Cause: LeaseManager.onRestarted put the leases down to the later run without a new version of the assignments, so the record kept the earlier run and its address. The next holder asked there, another target answered, and that was taken as proof that nobody held the keys.

Change: a restart makes a new version; the later run is granted its ranges once the record that names it is written, as after a move. Schedules draw other addresses, also used ones, and lose entries of living targets.

Conclusion: every run that may hold a range as its owner is in the record with its address, so an answer of another target there is proof again.

--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseManager.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeaseManager.java
@@ -237,18 +237,25 @@
    *
    * <p>The new run holds none of the earlier leases, but orders for the earlier run may have
    * reached it. Leases of the earlier run are therefore attributed to the new run, which can be
-   * reached: it is granted its ranges again at once under a higher token, or is asked to release
-   * them.
+   * reached: it is granted its ranges again under a higher token, or is asked to release them.
+   *
+   * <p>The new run may have another address. It is granted its ranges once the assignments that
+   * name it are durable; otherwise the next term holder would look for the owner at the address of
+   * the earlier run.
    *
    * @param run the current run; not null
    * @return whether it replaces the owner or a previous owner of any range
    */
   public boolean onRestarted(TargetId run) {
     boolean replaced = false;
+    long nextVersion = version + 1;
     for (LeasedRange leased : ranges) {
-      replaced |= leased.onRestarted(run);
+      replaced |= leased.onRestarted(run, nextVersion);
+    }
+    if (replaced) {
+      version = nextVersion;
+      routesChanged = true;
     }
-    routesChanged |= replaced;
     return replaced;
   }
 
--- a/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeasedRange.java
+++ b/cuminvalve-core/src/main/java/io/cuminvalve/core/lease/LeasedRange.java
@@ -164,10 +164,11 @@
   }
 
   /**
-   * Replaces earlier runs of a target by a later run, which inherits their leases. Returns whether
-   * any owner or previous owner was replaced.
+   * Replaces earlier runs of a target by a later run, which inherits their leases. If it becomes
+   * the owner, it is granted the range once the given version is durable. Returns whether any owner
+   * or previous owner was replaced.
    */
-  boolean onRestarted(TargetId run) {
+  boolean onRestarted(TargetId run, long version) {
     boolean replaced = false;
     for (TargetId id : List.copyOf(previousOwners.keySet())) {
       if (run.isLaterRunOf(id)) {
@@ -184,6 +185,7 @@
         grantInFlight = false;
       }
       owner = run;
+      neededVersion = version;
       granted = false;
       nextGrantMs = 0;
       replaced = true;
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseManagerTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseManagerTest.java
@@ -40,6 +40,17 @@
     assertThat(due(100)).hasSize(1);
   }
 
+  /** Guards against grants to a run whose address the next term holder cannot know. */
+  @Test
+  void noLaterRunIsGrantedKeysBeforeTheRecordNamesIt() {
+    TargetId laterRun = TargetId.ofRun("a", 1);
+    manager.onRestarted(laterRun);
+    assertThat(manager.needsWrite()).isTrue();
+    assertThat(grantsTo(laterRun, due(100))).isEmpty();
+    manager.onWritten(manager.version());
+    assertThat(grantsTo(laterRun, due(100))).hasSize(1);
+  }
+
   @Test
   void theLeaseThatEndsFirstIsRenewedFirst() {
     manager.due(1_000, A::equals).forEach(order -> grantEnds(order, OrderOutcome.DONE, 1_000));
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseScheduleTest.java
@@ -76,6 +76,20 @@
     assertThat(simulation.invariants().violations()).isEmpty();
   }
 
+  /**
+   * Guards against two owners of a key after its owner has restarted at another address.
+   *
+   * <p>The stored record named only the former address, so an answer from there was taken as proof
+   * that nobody held the keys.
+   */
+  @Property(tries = 150, seed = "23")
+  void noKeyHasTwoOwnersWhenTargetsChangeTheirAddresses(@ForAll long seed) {
+    LeaseSimulation simulation = new LeaseSimulation(seed, true, true).withAddressChanges();
+    simulation.run(DURATION_MS);
+    assertWithMessage("violations").that(simulation.invariants().violations()).isEmpty();
+    assertThat(simulation.invariants().maxOwnedKeys()).isGreaterThan(SimulatedTarget.SAMPLES / 2);
+  }
+
   /** Wall clocks of term holders are stepped, and their hosts are suspended and resumed. */
   @Property(tries = 150, seed = "17")
   void noKeyHasTwoOwnersWithClockFaults(@ForAll long seed) {
@@ -196,6 +210,18 @@
     }
   }
 
+  /** Verifies that targets change their addresses in the schedules that allow it. */
+  @Example
+  void namesAreReusedAtOtherAddresses() {
+    int addressChanges = 0;
+    for (long seed = 0; seed < FIXED_SEEDS; seed++) {
+      LeaseSimulation simulation = new LeaseSimulation(seed, true, true).withAddressChanges();
+      simulation.run(DURATION_MS);
+      addressChanges += simulation.addressChanges();
+    }
+    assertThat(addressChanges).isAtLeast((int) FIXED_SEEDS);
+  }
+
   /**
    * Verifies the coverage of the schedules: every fault occurs, and orders for terminated runs
    * reach other runs. With seed 6 these are all grants, as no release is due while another run has
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseSimulation.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/LeaseSimulation.java
@@ -37,6 +37,9 @@
 
   private static final long MAX_SUSPENSION_MS = 25_000;
 
+  /** Maximum time for which the registry lacks the entry of a run that continues. */
+  private static final long MAX_LAPSE_MS = 6_000;
+
   private final VirtualTime time;
   private final boolean reusesNames;
   private final SimulatedFleet fleet;
@@ -48,6 +51,7 @@
   private boolean storeRollbacks;
   private boolean clockFaults;
   private boolean repeatsNotices;
+  private boolean losesEntries;
   private int repeatedNotices;
   private int suspensions;
   private int clockSteps;
@@ -95,6 +99,22 @@
     return this;
   }
 
+  /**
+   * Enables runs that restart under the same name at another address, and registry entries that are
+   * missing for a time although their runs continue, in most cases around the start of a term. Term
+   * holders move keys only if they have to.
+   */
+  LeaseSimulation withAddressChanges() {
+    losesEntries = true;
+    fleet.allowAddressChanges();
+    return this;
+  }
+
+  /** Returns how often a run restarted under the same name at another address. */
+  int addressChanges() {
+    return fleet.addressChanges();
+  }
+
   /** Returns the number of additional termination notices. */
   int repeatedNotices() {
     return repeatedNotices;
@@ -151,6 +171,9 @@
     if (clockFaults) {
       holder.keepRunningWhenStale();
     }
+    if (losesEntries) {
+      holder.moveOnlyIfNeeded();
+    }
     holders.add(holder);
     return holder;
   }
@@ -191,6 +214,9 @@
     if (clockFaults && time.oneIn(60)) {
       injectClockFault();
     }
+    if (losesEntries && time.oneIn(100)) {
+      fleet.anyRunning().ifPresent(this::loseEntry);
+    }
     if (storeRollbacks && time.oneIn(250)) {
       rollBackStore();
     }
@@ -201,6 +227,13 @@
     }
   }
 
+  private void loseEntry(SimulatedTarget run) {
+    run.loseEntry(time.nowMs(), time.nowMs() + time.nextMs(100, MAX_LAPSE_MS));
+    if (time.nextInt(3) > 0) {
+      time.schedule(time.nextMs(0, 1_000), this::takeOver);
+    }
+  }
+
   /**
    * Disturbs the clock of the newest term holder or of its predecessor, which may not know that it
    * was replaced.
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/SimulatedFleet.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/SimulatedFleet.java
@@ -28,7 +28,9 @@
   private final Consumer<SimulatedTarget> onReplaced;
   private final boolean reusesNames;
   private boolean interleavesOtherNames;
+  private boolean changesAddresses;
   private int nameReturns;
+  private int addressChanges;
 
   /** All runs, including terminated ones. */
   private final Map<TargetId, SimulatedTarget> runs = new LinkedHashMap<>();
@@ -70,6 +72,19 @@
     return nameReturns;
   }
 
+  /**
+   * Allows runs that restart under the same name at another address, which may have been used
+   * before. Their former addresses are taken by runs of the other service.
+   */
+  void allowAddressChanges() {
+    changesAddresses = true;
+  }
+
+  /** Returns how often a name was reused at another address. */
+  int addressChanges() {
+    return addressChanges;
+  }
+
   Collection<SimulatedTarget> runs() {
     return runs.values();
   }
@@ -123,7 +138,11 @@
   private void startNext(SimulatedTarget ended, int choice) {
     ServiceId service = ended.service();
     boolean isFree = runAt(ended.address()).isEmpty();
-    if (isFree && choice < 6 && interleavesOtherNames && reusesNames && time.oneIn(2)) {
+    if (changesAddresses && time.oneIn(2)) {
+      String address = time.oneIn(2) ? freshAddress() : freeAddress();
+      restartAt(address, ended, listingDelay());
+      time.schedule(time.nextMs(1, 3_000), () -> reuseAddress(ended));
+    } else if (isFree && choice < 6 && interleavesOtherNames && reusesNames && time.oneIn(2)) {
       SimulatedTarget between = start(service, ended.address(), listingDelay());
       time.schedule(time.nextMs(1, 2_000), () -> restartAfterInterleaved(between, ended));
     } else if (isFree && choice < 6 && reusesNames && time.nextInt(4) > 0) {
@@ -150,6 +169,14 @@
     }
   }
 
+  /** Starts a run of the other service at the address of a terminated run, if it is free. */
+  private void reuseAddress(SimulatedTarget ended) {
+    ServiceId other = SERVICES.get(1 - SERVICES.indexOf(ended.service()));
+    if (runAt(ended.address()).isEmpty() && count(other) < 2 * TARGETS) {
+      start(other, ended.address(), listingDelay());
+    }
+  }
+
   private long count(ServiceId service) {
     return running().stream().filter(run -> run.service().equals(service)).count();
   }
@@ -158,7 +185,7 @@
     return time.oneIn(4) ? time.nextMs(2_000, 8_000) : time.nextMs(0, 500);
   }
 
-  private String freshAddress() {
+  String freshAddress() {
     return "10.0.0." + (lastAt.size() + 1);
   }
 
@@ -180,9 +207,15 @@
 
   /** Starts a run with the address and name of a terminated one and replaces its registry entry. */
   SimulatedTarget restartUnderSameName(SimulatedTarget ended, long listingDelayMs) {
+    return restartAt(ended.address(), ended, listingDelayMs);
+  }
+
+  /** Starts a run with the name of a terminated one at any address and replaces its entry. */
+  SimulatedTarget restartAt(String address, SimulatedTarget ended, long listingDelayMs) {
     TargetId id = TargetId.ofRun(ended.id().name(), time.nowMs() + 1);
     ended.end(Math.min(ended.listedUntilMs(), time.nowMs() + listingDelayMs));
-    return begin(id, ended.service(), ended.address(), listingDelayMs);
+    addressChanges += address.equals(ended.address()) ? 0 : 1;
+    return begin(id, ended.service(), address, listingDelayMs);
   }
 
   private SimulatedTarget begin(
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/SimulatedTarget.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/SimulatedTarget.java
@@ -23,6 +23,8 @@
   private final long[] heldUntilMs = new long[SAMPLES];
   private final ServiceId[] lastGrantedFor = new ServiceId[SAMPLES];
   private long listedUntilMs = Long.MAX_VALUE / 2;
+  private long lapsedFromMs = Long.MAX_VALUE;
+  private long lapsedUntilMs = Long.MAX_VALUE;
   private boolean ended;
 
   SimulatedTarget(
@@ -52,7 +54,14 @@
 
   /** Returns whether the registry lists this run at any time in an interval. */
   boolean isListed(long fromMs, long untilMs) {
-    return listedFromMs <= untilMs && fromMs < listedUntilMs;
+    boolean lapsed = lapsedFromMs <= fromMs && untilMs < lapsedUntilMs;
+    return listedFromMs <= untilMs && fromMs < listedUntilMs && !lapsed;
+  }
+
+  /** Removes the registry entry for a time, although the run continues. */
+  void loseEntry(long fromMs, long untilMs) {
+    lapsedFromMs = fromMs;
+    lapsedUntilMs = untilMs;
   }
 
   /**
--- a/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/SimulatedTermHolder.java
+++ b/cuminvalve-core/src/test/java/io/cuminvalve/core/lease/SimulatedTermHolder.java
@@ -50,6 +50,7 @@
   private Optional<UpperTime> termLostAt = Optional.empty();
   private boolean confirmed = true;
   private boolean keepsRunningWhenStale;
+  private boolean movesOnlyIfNeeded;
   private long tokenCount;
   private String unreachable = "";
   private long reachableAtMs;
@@ -146,6 +147,11 @@
     keepsRunningWhenStale = true;
   }
 
+  /** Makes this term holder move keys only if it has to, so that the record stays as it is. */
+  void moveOnlyIfNeeded() {
+    movesOnlyIfNeeded = true;
+  }
+
   /** Handles a notice that another run answers at the address of a target. */
   void onGone(TargetId id) {
     reportedTerminated.add(id);
@@ -221,7 +227,7 @@
     manager
         .rangesWithUnusableOwner(ids::contains)
         .forEach(keys -> moveToRandomTarget(manager, keys, usable));
-    if (time.oneIn(20)) {
+    if (!movesOnlyIfNeeded && time.oneIn(20)) {
       moveToRandomTarget(manager, keysOf(time.nextInt(SimulatedTarget.SAMPLES)), usable);
     }
     if (time.oneIn(40)) {
