Bound heads and sizes of answers to orders and of the store

Callers would see: requests that end with their gateway, since one faulty target or store sends bytes without end and the gateway keeps them all.

Cause: BoundedHttpClient bounded bodies only, at 4 MB for each call; the library has no bound on heads unless one is set, nor on the rest of an answer.

Change: CountingEndPoint, until now of the router's client, counts what a call reads; heads have 16 KB at most, bodies of answers to orders 64 KB.

Endless, Reset and BoundedHttpClient tests of ports, router and gateway pass.

Conclusion: what one call keeps in memory has a bound that the peer cannot move.

--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/AbortingConnector.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/AbortingConnector.java
@@ -21,17 +21,20 @@
  */
 final class AbortingConnector extends PlainConnector {
 
+  /** How many bytes a connection may bring before its first call. */
+  private static final long MAX_IDLE_BYTES = 16 * 1024;
+
   @Override
   protected EndPoint newEndPoint(
       SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
     return new AbortingEndPoint((SocketChannel) channel, selector, key, getScheduler());
   }
 
-  private static final class AbortingEndPoint extends ResetReportingEndPoint {
+  private static final class AbortingEndPoint extends CountingEndPoint {
 
     AbortingEndPoint(
         SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
-      super(channel, selector, key, scheduler);
+      super(channel, selector, key, scheduler, MAX_IDLE_BYTES);
     }
 
     /**
--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/BoundedHttpClient.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/BoundedHttpClient.java
@@ -30,7 +30,19 @@
  */
 public final class BoundedHttpClient implements ManagedService {
 
-  private static final int MAX_RESPONSE_BYTES = 4 * 1024 * 1024;
+  private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+  /**
+   * Maximum size of the body of a guarded call. Such calls are orders with short responses, and
+   * many of them may be in progress at the same time.
+   */
+  private static final int MAX_GUARDED_BODY_BYTES = 64 * 1024;
+
+  private static final int MAX_HEAD_BYTES = 16 * 1024;
+
+  /** Room for what a response has besides its body, in heads of full size. */
+  private static final int MAX_HEADS_PER_RESPONSE = 4;
+
   private static final int MAX_CONNECTIONS_PER_ADDRESS = 64;
   private static final int MAX_QUEUED_PER_ADDRESS = 1024;
   private static final int MAX_THREADS = 16;
@@ -61,6 +73,7 @@
     client.setIdleTimeout(idleTimeoutMs);
     client.setFollowRedirects(false);
     client.setUserAgentField(null);
+    client.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_ADDRESS);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_ADDRESS);
   }
@@ -94,7 +107,7 @@
    * @return never null
    */
   public CompletableFuture<HttpCallResult> call(String method, String url, long timeoutMs) {
-    return send(client.newRequest(url).method(method), timeoutMs);
+    return send(client.newRequest(url).method(method), MAX_BODY_BYTES, timeoutMs);
   }
 
   /**
@@ -130,7 +143,7 @@
       String contentType,
       byte[] body,
       long timeoutMs) {
-    return send(newRequest(method, url, headers, contentType, body), timeoutMs);
+    return send(newRequest(method, url, headers, contentType, body), MAX_BODY_BYTES, timeoutMs);
   }
 
   /**
@@ -145,7 +158,7 @@
         newRequest(call.method(), call.url(), call.headers(), call.contentType(), call.body());
     request.onRequestBegin(begun -> abortUnless(begun, () -> maySend(call, begun)));
     request.onResponseHeaders(response -> abortUnlessExpected(response, call.responseCheck()));
-    return send(request, call.timeoutMs());
+    return send(request, MAX_GUARDED_BODY_BYTES, call.timeoutMs());
   }
 
   private static boolean maySend(GuardedCall call, Request request) {
@@ -207,16 +220,21 @@
                     : CompletableFuture.completedFuture(result));
   }
 
-  private CompletableFuture<HttpCallResult> send(Request request, long timeoutMs) {
+  private CompletableFuture<HttpCallResult> send(
+      Request request, int maxBodyBytes, long timeoutMs) {
     CompletableFuture<HttpCallResult> future = new CompletableFuture<>();
     AtomicBoolean begun = new AtomicBoolean();
     // A call that waits for its response is not idle: only its own timeout may end it.
     request
         .idleTimeout(0, TimeUnit.MILLISECONDS)
         .timeout(timeoutMs, TimeUnit.MILLISECONDS)
-        .onRequestBegin(ignored -> begun.set(true))
+        .onRequestBegin(
+            begin -> {
+              begun.set(true);
+              CountingEndPoint.restart(begin.getConnection(), maxResponseBytes(maxBodyBytes));
+            })
         .send(
-            new BufferingResponseListener(MAX_RESPONSE_BYTES) {
+            new BufferingResponseListener(maxBodyBytes) {
               @Override
               public void onComplete(Result result) {
                 future.complete(toCallResult(result, this, begun.get()));
@@ -225,6 +243,11 @@
     return future;
   }
 
+  /** Chunks of one byte take six bytes on the wire. */
+  private static long maxResponseBytes(int maxBodyBytes) {
+    return 6L * maxBodyBytes + MAX_HEADS_PER_RESPONSE * MAX_HEAD_BYTES;
+  }
+
   private static HttpCallResult toCallResult(
       Result result, BufferingResponseListener listener, boolean begun) {
     if (result.isSucceeded()) {
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetClient.java
@@ -68,7 +68,7 @@
     DaemonThreadPool threads =
         new DaemonThreadPool("target", limits.maxThreads(), limits.maxThreads());
     ClientConnector connector =
-        new ResetReportingConnector((long) MAX_HEADS_BETWEEN_PARTS * limits.maxHeaderBytes());
+        new CountingConnector((long) MAX_HEADS_BETWEEN_PARTS * limits.maxHeaderBytes());
     connector.setSelectors(1);
     connector.setExecutor(threads);
     HttpClientTransportOverHTTP transport = new HttpClientTransportOverHTTP(connector);
--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/target/TargetExchange.java
@@ -1,5 +1,6 @@
 package io.cuminvalve.router.target;
 
+import io.cuminvalve.ports.http.CountingEndPoint;
 import java.util.concurrent.CancellationException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.Request;
@@ -98,7 +99,7 @@
   }
 
   private void onProgress() {
-    ResetReportingConnector.onProgress(request.getConnection());
+    CountingEndPoint.restart(request.getConnection());
   }
 
   private void onComplete(Result result) {
