--- a/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/CountingEndPoint.java
+++ b/cuminvalve-ports/src/main/java/io/cuminvalve/ports/http/CountingEndPoint.java
@@ -2,6 +2,7 @@
 
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
+import java.util.Optional;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -9,9 +10,10 @@
 /**
  * A connection that fails when the peer sends bytes without end.
  *
- * <p>Jetty bounds some parts of a response, but neither interim responses nor the size lines of
- * chunks. The connection therefore counts all bytes, from the start of a call or from the last part
- * of its response.
+ * <p>Jetty bounds heads and trailers if told to, and whoever reads a body bounds it. Interim
+ * responses and the size lines of chunks have no such bound. The connection therefore counts all
+ * bytes that it reads, until the count is restarted at the next call or the next part of a
+ * response.
  *
  * @since 0.2
  */
@@ -47,10 +49,7 @@
    * @param connection the connection; one without such an end point is ignored
    */
   public static void restart(org.eclipse.jetty.client.Connection connection) {
-    if (connection instanceof Connection opened
-        && opened.getEndPoint() instanceof CountingEndPoint endPoint) {
-      endPoint.countedBytes = 0;
-    }
+    endPointOf(connection).ifPresent(endPoint -> endPoint.countedBytes = 0);
   }
 
   /**
@@ -60,11 +59,20 @@
    * @param maxBytes how many bytes may be read until the count is restarted; at least 1
    */
   public static void restart(org.eclipse.jetty.client.Connection connection, long maxBytes) {
-    if (connection instanceof Connection opened
-        && opened.getEndPoint() instanceof CountingEndPoint endPoint) {
-      endPoint.maxBytes = maxBytes;
-      endPoint.countedBytes = 0;
-    }
+    endPointOf(connection)
+        .ifPresent(
+            endPoint -> {
+              endPoint.maxBytes = maxBytes;
+              endPoint.countedBytes = 0;
+            });
+  }
+
+  private static Optional<CountingEndPoint> endPointOf(
+      org.eclipse.jetty.client.Connection connection) {
+    return connection instanceof Connection opened
+            && opened.getEndPoint() instanceof CountingEndPoint endPoint
+        ? Optional.of(endPoint)
+        : Optional.empty();
   }
 
   /** A restart that happens meanwhile may be missed; the bytes then count for the next part. */
