Let the target of an orderly answer read the whole request

Its target skipped as many bytes as the upload has, but the head of the request comes before them, so some bytes stayed unread when it closed. The operating system then resets the connection and drops what it has not sent of the answer: the read of the client failed with "Connection reset". The answer was cut, and the client was right to fail it.

Change: the target reads to the end of the stream. The test compares the length of each answer with what the target has sent; before, any length counted.

--- a/cuminvalve-router/src/test/java/io/cuminvalve/router/target/ResetDuringUploadTest.java
+++ b/cuminvalve-router/src/test/java/io/cuminvalve/router/target/ResetDuringUploadTest.java
@@ -4,11 +4,15 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.http.HttpFields;
@@ -27,6 +31,10 @@
   private static final int UPLOADS = 200;
   private static final int UPLOAD_BYTES = 4 * 1024 * 1024;
   private static final int ANSWER_BYTES = 100_000;
+
+  /** Arrives at once, however slowly the client reads. */
+  private static final int SHORT_ANSWER_BYTES = 10_000;
+
   private static final int ORDERLY_UPLOADS = 20;
   private static final int MAX_HEADER_BYTES = 16_384;
 
@@ -50,28 +58,40 @@
 
   @Test
   void noPartOfAnAnswerPassesForTheWhole() {
-    startTarget(accepted -> accepted.setSoLinger(true, 0));
-    assertWithMessage("answers that passed for whole").that(wholeAnswers(UPLOADS)).isEqualTo(0);
+    startTarget(ANSWER_BYTES, accepted -> accepted.setSoLinger(true, 0));
+    assertWithMessage("answers that passed for whole").that(answerLengths(UPLOADS)).isEmpty();
   }
 
-  /** An answer may come before the upload has been read. */
+  /**
+   * An answer may come before the upload has been read. The target reads all of the request:
+   * closing with unread bytes would reset the connection and could discard a part of the answer.
+   */
   @Test
   void answersThatEndInOrderAreWhole() {
     startTarget(
+        ANSWER_BYTES,
         accepted -> {
           accepted.shutdownOutput();
-          accepted.getInputStream().skipNBytes(UPLOAD_BYTES);
+          accepted.getInputStream().transferTo(OutputStream.nullOutputStream());
         });
-    assertThat(wholeAnswers(ORDERLY_UPLOADS)).isEqualTo(ORDERLY_UPLOADS);
+    assertThat(answerLengths(ORDERLY_UPLOADS))
+        .isEqualTo(Collections.nCopies(ORDERLY_UPLOADS, ANSWER_BYTES));
+  }
+
+  /** The whole answer has arrived when the unread upload makes the target reset the connection. */
+  @Test
+  void answerIsDeliveredIfTargetClosesWithoutReadingTheUpload() {
+    startTarget(SHORT_ANSWER_BYTES, Socket::shutdownOutput);
+    assertThat(answerLengths(UPLOADS)).isEqualTo(Collections.nCopies(UPLOADS, SHORT_ANSWER_BYTES));
   }
 
-  private int wholeAnswers(int uploads) {
-    int whole = 0;
+  /** Returns the lengths of the answers that were delivered. */
+  private List<Integer> answerLengths(int uploads) {
+    List<Integer> lengths = new ArrayList<>();
     for (int i = 0; i < uploads; i++) {
-      int bytes = upload().handle((length, failure) -> failure == null ? length : -1).join();
-      whole += bytes < 0 ? 0 : 1;
+      upload().handle((length, failure) -> failure == null && lengths.add(length)).join();
     }
-    return whole;
+    return lengths;
   }
 
   private CompletableFuture<Integer> upload() {
@@ -87,16 +107,16 @@
     return answer;
   }
 
-  private void startTarget(EndOfAnswer end) {
-    Thread answering = new Thread(() -> answerAll(end), "target");
+  private void startTarget(int answerBytes, EndOfAnswer end) {
+    Thread answering = new Thread(() -> answerAll(answerBytes, end), "target");
     answering.setDaemon(true);
     answering.start();
   }
 
-  private void answerAll(EndOfAnswer end) {
+  private void answerAll(int answerBytes, EndOfAnswer end) {
     while (!target.isClosed()) {
       try (Socket accepted = target.accept()) {
-        answerEarly(accepted, end);
+        answerEarly(accepted, answerBytes, end);
       } catch (IOException closed) {
         // The client has given up first, or the test has ended.
       }
@@ -104,11 +124,12 @@
   }
 
   /** Reads a little of the upload and answers without a length. */
-  private static void answerEarly(Socket accepted, EndOfAnswer end) throws IOException {
+  private static void answerEarly(Socket accepted, int answerBytes, EndOfAnswer end)
+      throws IOException {
     accepted.getInputStream().skipNBytes(1);
     byte[] head = "HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     accepted.getOutputStream().write(head);
-    accepted.getOutputStream().write(new byte[ANSWER_BYTES]);
+    accepted.getOutputStream().write(new byte[answerBytes]);
     end.apply(accepted);
   }
 
