Renew the arrival bound of a connection with each read that empties it

Callers saw: a caller that sends its next request as soon as it has the response got 503 for each of them, for minutes, from the moment on at which the time limit of the route had passed.

Cause: a request counts from the last moment at which its connection was seen empty. Only a read without a byte and a silent look of the selector told so, and such a caller leaves time for neither. So requests had the age of earlier ones, in the end read_too_late.

Change: a read that does not fill its buffer has emptied the connection; later bytes arrived after it began. Bytes of the read itself keep the bound from before it, also when they are held for a later request.

--- a/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
+++ b/cuminvalve-router/src/main/java/io/cuminvalve/router/caller/CallerEndPoint.java
@@ -113,8 +113,9 @@
   }
 
   private int readHeld() throws IOException {
+    UpperTime emptyBefore = arrivals.empty();
     int read = read(held.buffer());
-    pipeline.onHeld(read, arrivals.empty());
+    pipeline.onHeld(read, emptyBefore);
     return read;
   }
 
@@ -204,16 +205,18 @@
     return read;
   }
 
+  /** A read that does not fill the buffer has left the connection without a byte. */
   private int read(ByteBuffer buffer) throws IOException {
     UpperTime now = clock.upper();
     long nowNs = NanoTime.now();
     boolean hadRoom = HeldBytes.hasRoom(buffer);
     int read = super.fill(buffer);
-    if (read == 0 && hadRoom) {
-      arrivals.onEmpty(now);
-    } else if (read > 0) {
+    if (read > 0) {
       arrivals.onBytes(nowNs);
     }
+    if (read >= 0 && hadRoom && BufferUtil.space(buffer) > 0) {
+      arrivals.onEmpty(now);
+    }
     return read;
   }
 
