Give the answer of the known-red test a length

Cause: without a length, a whole answer whose target then resets the connection looks like a part of one whose target ended while it sent it. To fail it is right, so the test asked too much.

Change: the answer of the test has a length.

--- a/cuminvalve-router/src/test/java/io/cuminvalve/router/target/ResetDuringUploadTest.java
+++ b/cuminvalve-router/src/test/java/io/cuminvalve/router/target/ResetDuringUploadTest.java
@@ -35,6 +35,10 @@
   /** Arrives at once, however slowly the client reads. */
   private static final int SHORT_ANSWER_BYTES = 10_000;
 
+  private static final String WITHOUT_LENGTH = "HTTP/1.1 200 OK\r\n\r\n";
+  private static final String WITH_LENGTH =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + SHORT_ANSWER_BYTES + "\r\n\r\n";
+
   private static final int ORDERLY_UPLOADS = 20;
   private static final int MAX_HEADER_BYTES = 16_384;
 
@@ -58,7 +62,7 @@
 
   @Test
   void noPartOfAnAnswerPassesForTheWhole() {
-    startTarget(ANSWER_BYTES, accepted -> accepted.setSoLinger(true, 0));
+    startTarget(WITHOUT_LENGTH, ANSWER_BYTES, accepted -> accepted.setSoLinger(true, 0));
     assertWithMessage("answers that passed for whole").that(answerLengths(UPLOADS)).isEmpty();
   }
 
@@ -69,6 +73,7 @@
   @Test
   void answersThatEndInOrderAreWhole() {
     startTarget(
+        WITHOUT_LENGTH,
         ANSWER_BYTES,
         accepted -> {
           accepted.shutdownOutput();
@@ -78,10 +83,13 @@
         .isEqualTo(Collections.nCopies(ORDERLY_UPLOADS, ANSWER_BYTES));
   }
 
-  /** The whole answer has arrived when the unread upload makes the target reset the connection. */
+  /**
+   * The whole answer has arrived when the unread upload makes the target reset the connection. It
+   * has a length: without one, it could not be told from a part that a target sent before it ended.
+   */
   @Test
   void answerIsDeliveredIfTargetClosesWithoutReadingTheUpload() {
-    startTarget(SHORT_ANSWER_BYTES, Socket::shutdownOutput);
+    startTarget(WITH_LENGTH, SHORT_ANSWER_BYTES, Socket::shutdownOutput);
     assertThat(answerLengths(UPLOADS)).isEqualTo(Collections.nCopies(UPLOADS, SHORT_ANSWER_BYTES));
   }
 
@@ -107,28 +115,27 @@
     return answer;
   }
 
-  private void startTarget(int answerBytes, EndOfAnswer end) {
-    Thread answering = new Thread(() -> answerAll(answerBytes, end), "target");
+  private void startTarget(String head, int answerBytes, EndOfAnswer end) {
+    Thread answering = new Thread(() -> answerAll(head, answerBytes, end), "target");
     answering.setDaemon(true);
     answering.start();
   }
 
-  private void answerAll(int answerBytes, EndOfAnswer end) {
+  private void answerAll(String head, int answerBytes, EndOfAnswer end) {
     while (!target.isClosed()) {
       try (Socket accepted = target.accept()) {
-        answerEarly(accepted, answerBytes, end);
+        answerEarly(accepted, head, answerBytes, end);
       } catch (IOException closed) {
         // The client has given up first, or the test has ended.
       }
     }
   }
 
-  /** Reads a little of the upload and answers without a length. */
-  private static void answerEarly(Socket accepted, int answerBytes, EndOfAnswer end)
+  /** Reads a little of the upload and answers. */
+  private static void answerEarly(Socket accepted, String head, int answerBytes, EndOfAnswer end)
       throws IOException {
     accepted.getInputStream().skipNBytes(1);
-    byte[] head = "HTTP/1.1 200 OK\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
-    accepted.getOutputStream().write(head);
+    accepted.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
     accepted.getOutputStream().write(new byte[answerBytes]);
     end.apply(accepted);
   }
